Count what refusals are for and how cold engines fare, and log the gains every 5 s

A refusal now names what kept the query (refused.all, .bound, .cold, .suspect, ...), ends on cold engines are counted apart, and every 5 s a line of what each counter gained is logged. No decision changes.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
@@ -76,12 +77,24 @@
 		return nil
 	}
 	logger.Info("serving", "addr", g.front.Addr())
+	g.loop.Timers.Add(g.loop.Now()+tellEvery, g.tell)
 	go g.signals(told)
 	g.loop.Run()
 	g.print()
 	return nil
 }
 
+// tellEvery is how often the log tells what was counted: a bad stretch then stands
+// beside the good one before it, with nobody there to ask for either.
+const tellEvery = 5 * time.Second
+
+func (g *gateway) tell() {
+	if gained := g.counters.Changes(); len(gained) > 0 {
+		g.log.Info("counts", gained...)
+	}
+	g.loop.Timers.Add(g.loop.Now()+tellEvery, g.tell)
+}
+
 // print writes the counters.
 func (g *gateway) print() {
 	if g.shapes != nil {
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -19,6 +19,9 @@
 		a.neverRan = true
 	}
 	c.stats.Add("ended." + end.String())
+	if e := c.engines[a.Engine]; e.Fresh && a.Sent < e.Started+c.coldFor {
+		c.stats.Add("ended-cold." + end.String())
+	}
 	// Of what may have run and is not safe to repeat, the word of an attempt that never
 	// ran says nothing: it must not stand for the one in doubt.
 	if !a.neverRan || rep.Detail != nil && !c.Doubt(r) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	round   time.Duration
+	coldFor time.Duration // after its start an engine counts as cold
 	classes map[string]policy.Class
 	engines map[string]Engine // that the roster names and that are not gone
 
@@ -133,7 +134,7 @@
 		return nil, err
 	}
 	c := &Core{
-		gateway: g, clock: clock, timers: timers, stats: counters, log: l, round: set.Round,
+		gateway: g, clock: clock, timers: timers, stats: counters, log: l, round: set.Round, coldFor: set.Rules.ColdFor,
 		classes: map[string]policy.Class{}, engines: map[string]Engine{}, requests: map[uint64]*Request{},
 	}
 	for _, class := range set.Classes {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -19,6 +19,7 @@
 			c.cancel(r, a.Attempt)
 		}
 	case policy.Refuse:
+		c.stats.Add("refused." + a.Why.String())
 		c.final(a.Query, Answer{Verdict: Refused, ComeBack: a.ComeBack})
 	case policy.Fail:
 		c.final(a.Query, Answer{Verdict: Failed})
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -4,15 +4,16 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 )
 
 // Counters counts by name. It belongs to the loop's goroutine.
-type Counters struct{ n map[string]int64 }
+type Counters struct{ n, told map[string]int64 }
 
 // New returns counters at zero.
-func New() *Counters { return &Counters{n: map[string]int64{}} }
+func New() *Counters { return &Counters{n: map[string]int64{}, told: map[string]int64{}} }
 
 // Add counts one, under a name of words joined by dots: stage, then detail.
 func (c *Counters) Add(name string) { c.n[name]++ }
@@ -33,14 +34,23 @@
 	return sum
 }
 
+// Changes lists what each counter has gained since the last call, in order of name and
+// without those that stood still: pairs of a name and a number, as a logger takes them.
+func (c *Counters) Changes() (pairs []any) {
+	for _, name := range c.names() {
+		if gain := c.n[name] - c.told[name]; gain != 0 {
+			c.told[name] = c.n[name]
+			pairs = append(pairs, name, gain)
+		}
+	}
+	return pairs
+}
+
+func (c *Counters) names() []string { return slices.Sorted(maps.Keys(c.n)) }
+
 // Print writes a line for each counter, in order of name.
 func (c *Counters) Print(w io.Writer) {
-	names := make([]string, 0, len(c.n))
-	for name := range c.n {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range c.names() {
 		fmt.Fprintf(w, "count %s %d\n", name, c.n[name])
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -302,8 +302,30 @@
 type Refuse struct {
 	Query    uint64
 	ComeBack time.Duration // not before this long from now; 0: unsaid
+	Why      Why
 }
 
+// Why says what kept a refused query from an engine: where it was kept from several by
+// different things, the one that came nearest to letting it go.
+type Why uint8
+
+// What a query is refused for.
+const (
+	WhyUnknown Why = iota // no such class
+	WhyNone               // the list has no engine that it may go to
+	WhySuspect            // those left are silent or fail
+	WhyRules              // a rule forbids another attempt
+	WhyBound              // it fits no engine's bound
+	WhyCold               // those left are cold, and this gateway's part of their budget is spent
+	WhyAll                // it doesn't fit the bound of all engines
+	WhyVain               // tried, and too late or in vain to try again
+	WhyTime               // its time is up
+)
+
+var whyNames = [...]string{"unknown", "none", "suspect", "rules", "bound", "cold", "all", "vain", "time"}
+
+func (w Why) String() string { return whyNames[w] }
+
 // Fail is a final answer that promises nothing.
 type Fail struct{ Query uint64 }
 
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -40,6 +40,6 @@
 	tell(policy.Arrive{Query: 3, Class: "lookup", Deadline: clock + time.Second})
 	// Output:
 	// policy.Send {Query:1 Engine:engine-1 Within:1s}
-	// policy.Refuse {Query:2 ComeBack:0s}
+	// policy.Refuse {Query:2 ComeBack:0s Why:bound}
 	// policy.Send {Query:3 Engine:engine-1 Within:1s}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -142,7 +142,7 @@
 	if token != 0 {
 		q := g.queries[token-1]
 		if q != nil && !slices.ContainsFunc(q.tries, func(a *attempt) bool { return a.stream && !a.ended }) {
-			g.giveUp(q)
+			g.giveUp(q, WhyTime)
 		}
 		return
 	}
@@ -249,10 +249,10 @@
 
 // admit sends the query to an engine where it fits, or refuses it at once.
 func (g *Gateway) admit(q *query) {
-	if e := g.choose(q); e != nil {
+	if e, why := g.choose(q); e != nil {
 		g.send(q, e)
 	} else {
-		g.giveUp(q)
+		g.giveUp(q, why)
 	}
 }
 
@@ -277,7 +277,7 @@
 		g.over(q)
 	case q.outstanding(): // its outcome will decide
 	case ms(q.deadline-g.now) <= q.class.latency/4, q.errors() > 1: // too late for another, or in vain
-		g.giveUp(q)
+		g.giveUp(q, WhyVain)
 	default:
 		g.admit(q)
 	}
@@ -422,7 +422,7 @@
 	case len(q.tries) == 1 && (slow || late) && usual*1.5 < rest && g.move(a):
 		a.e.slow += (4*kneeTimes - a.e.slow) / 10 // the engine may be the cause
 	case left > hopeless*rest && g.mayRefuse(q): // it would hold its place to the deadline
-		g.giveUp(q)
+		g.giveUp(q, WhyVain)
 	}
 }
 
@@ -449,19 +449,20 @@
 
 // ---- The choice of engine ----
 
-// choose finds the roomiest engine where the query fits.
-func (g *Gateway) choose(q *query) *engine {
+// choose finds the roomiest engine where the query fits, or tells why there is none.
+func (g *Gateway) choose(q *query) (best *engine, why Why) {
 	if !g.open(q) {
-		return nil
+		return nil, WhyAll
 	}
-	var best *engine
+	why = WhyNone
 	most, mark := math.Inf(-1), g.mark(q.set)
 	for _, e := range g.engines {
 		bound := g.limit(q, &e.loop)
 		if e.suspected && g.trial(q, e) {
-			return e
+			return e, why
 		}
-		if e.suspected || g.mute(e, q.class) || !g.fits(q, &e.loop, bound) || !g.maySend(q, e) {
+		if bar := g.bar(q, e, bound); bar != 0 {
+			why = max(why, bar)
 			continue
 		}
 		room := bound - e.backlog + g.liking(q, e, affinity(e.hash, q.set) >= mark)
@@ -480,7 +481,24 @@
 			best, most = e, room
 		}
 	}
-	return best
+	return best, why
+}
+
+// bar tells what keeps the query from the engine; 0: nothing.
+func (g *Gateway) bar(q *query, e *engine, bound float64) Why {
+	switch {
+	case e.state != EngineLive:
+		return WhyNone
+	case e.suspected || g.mute(e, q.class):
+		return WhySuspect
+	case !g.fits(q, &e.loop, bound):
+		return WhyBound
+	case !g.coldRoom(q, e):
+		return WhyCold
+	case !g.maySend(q, e):
+		return WhyRules
+	}
+	return 0
 }
 
 // fits is the paper's test; a query that outweighs the bound goes by chance where
@@ -709,7 +727,7 @@
 // send is the one place where a query goes out.
 func (g *Gateway) send(q *query, e *engine) {
 	if !g.maySend(q, e) {
-		g.giveUp(q)
+		g.giveUp(q, WhyRules)
 		return
 	}
 	a := &attempt{q: q, n: len(q.tries), e: e, sent: g.now, heard: g.now, ran: true}
@@ -751,12 +769,12 @@
 
 // giveUp is the one place where a final answer is given: a refusal where the
 // rules allow it, a failure where an attempt may have run.
-func (g *Gateway) giveUp(q *query) {
+func (g *Gateway) giveUp(q *query, why Why) {
 	if q.done {
 		return
 	}
 	if g.mayRefuse(q) {
-		g.act(Refuse{Query: q.id, ComeBack: g.comeBack()})
+		g.act(Refuse{Query: q.id, ComeBack: g.comeBack(), Why: why})
 	} else {
 		g.act(Fail{Query: q.id})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1092,3 +1092,33 @@
 		}
 	}
 }
+
+func TestRefusalTellsWhatKeptTheQuery(t *testing.T) {
+	cold := live("e", "a", 1)
+	cold.Fresh, cold.Started = true, time.Minute
+	gone := live("e", "a", 1)
+	gone.State = EngineDraining
+	for _, c := range []struct {
+		want   Why
+		engine Engine
+		set    func(g *Gateway, e *engine)
+	}{
+		{WhyNone, gone, func(*Gateway, *engine) {}},
+		{WhyCold, cold, func(*Gateway, *engine) {}}, // the gateway itself has just started
+		{WhySuspect, live("e", "a", 1), func(g *Gateway, e *engine) { e.suspected, e.trialAt = true, time.Hour }},
+		{WhyBound, live("e", "a", 1), func(g *Gateway, e *engine) { e.backlog = 100 }},
+		{WhyAll, live("e", "a", 1), func(g *Gateway, e *engine) { g.fleet.backlog = 100 }},
+	} {
+		r := start(t, settings(), c.engine)
+		c.set(r.g, r.g.byID["e"])
+		why := WhyUnknown
+		for _, a := range r.arrive(1, "safe") {
+			if no, ok := a.(Refuse); ok {
+				why = no.Why
+			}
+		}
+		if why != c.want {
+			t.Errorf("refused for %q, want %q", why, c.want)
+		}
+	}
+}
