Let a bound bind only under pressure, not whenever it is under its start

DESIGN: bounds bind only under pressure. limit() also bound while a bound stood under its start, so one slow completion in a period held a gateway nearly shut long after: with few completions and alpha = latency/bound, the way back is a third of a thread a period, and only in periods that finish something.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -521,10 +521,10 @@
 
 // limit is the part of a bound that is open to the query: more the more it is worth
 // for its work, where that is estimated, less beyond its tenant's share. The bound
-// binds under pressure and while it is under its start.
+// binds under pressure only: one bad period must not starve what it learns from.
 func (g *Gateway) limit(q *query, l *loop) float64 {
 	bound := l.top
-	if g.now < l.pressed || l.bound < l.start {
+	if g.now < l.pressed {
 		bound = l.bound
 	}
 	return bound * q.part
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1122,3 +1122,27 @@
 		}
 	}
 }
+
+// A bound that one bad period has driven far down must not bind once the pressure is over.
+func TestBoundBindsOnlyUnderPressure(t *testing.T) {
+	for _, c := range []struct {
+		latency float64 // over the aim
+		after   time.Duration
+		open    bool
+	}{
+		{3, period, false},
+		{3, 3 * period, true},
+		{0.5, 0, true},
+	} {
+		r := start(t, settings(), live("e", "a", 1))
+		f := &r.g.fleet
+		f.answered(c.latency, 1)
+		r.g.control(f)
+		f.bound = floorShare
+		f.backlog = 2
+		r.after(c.after).do(Gone{}) // nothing but the time
+		if open := r.g.open(&query{class: r.g.classes["safe"], weight: 1, part: 1}); open != c.open {
+			t.Errorf("latency %v of the aim, %v later: open is %v", c.latency, c.after, open)
+		}
+	}
+}
