Count a gateway's part of the traffic from its first reports, not from 20 s on

Without tenants, a gateway's part is what it has out over what the engines tell that they hold; bounds are that part of an engine. Both means started at nought with a weight of 1/40, but one takes a sample a period and the other one a report: for the first 20 s and more the part read far too small, and the gateways with most traffic had the bounds of an equal part. Means now weigh their first samples fully.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -158,7 +158,8 @@
 	if g.ticked++; g.ticked%ticks == 0 {
 		g.rate += (float64(g.arrived)/period.Seconds() - g.rate) / float64(min(4+g.ticked/ticks, 80))
 		g.arrived = 0
-		g.mine += (float64(len(g.queries))/float64(max(len(g.engines), 1)) - g.mine) / 40
+		mine := float64(len(g.queries)) / float64(max(len(g.engines), 1))
+		g.mine += (mine - g.mine) / float64(min(g.ticked/ticks, 40)) // the first periods teach more
 		for _, e := range g.engines {
 			g.scale(e)
 			g.control(&e.loop)
@@ -345,7 +346,8 @@
 	e.load = g.full * l.Busy
 	if l.Held >= 0 { // busy cores say nothing of what waits
 		held := min(l.Held, mostHeld*e.cores)
-		g.theirs += (held - g.theirs) / 40
+		g.tolds++
+		g.theirs += (held - g.theirs) / min(g.tolds, 40)
 		e.load = held * g.width / e.cores
 	}
 	e.toldAt, e.load = g.now, min(e.load, 2*g.full)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1146,3 +1146,25 @@
 		}
 	}
 }
+
+// A gateway that carries far more than an equal part must know it within seconds: its bounds
+// are for that part, and until then it refuses what the engines have room for.
+func TestPartIsKnownFromTheFirstReports(t *testing.T) {
+	s := settings()
+	s.Gateways = 100
+	r := start(t, s, live("e", "a", 1), live("f", "a", 2))
+	r.g.quiet = time.Hour
+	for id := uint64(1); id <= 4; id++ {
+		r.arrive(id, "unsafe")
+	}
+	held := float64(len(r.g.queries))
+	for range 6 { // 3 s in which a fifth of what the two engines hold is ours
+		for range 10 {
+			r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: -1, Held: held * 2.5}})
+		}
+		r.ticks(500 * msec)
+	}
+	if got := r.g.share(); got < 0.15 || got > 0.25 {
+		t.Fatalf("a part of %.3f after 3 s, want a fifth", got)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -59,6 +59,7 @@
 	load    float64  // usual told threads a core
 	mine    float64  // usual attempts of ours at an engine, and all that it tells
 	theirs  float64
+	tolds   float64 // reports so far
 	rate    float64 // queries taken a second, smoothed
 	arrived int     // in this period
 	taken   []time.Duration
