Count granted memory as load where short memory slows a whole engine

On this site an engine that has granted more memory than it has lets queries in and all of them crawl. The report says so (x0), but only the count of queries was read, so an engine with a few wide reports looked roomy until it jammed, and stayed jammed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,10 +2,6 @@
 
 // The decisions. The interface (settings, events, actions) is in api.go, the
 // types of what is kept in state.go, the check of the settings in check.go.
-//
-// Parts, in order: figures derived from the settings; the gateway and its
-// events; the query's life; the choice of engine; the guards of the rules;
-// engine state with the control loop, health and cold ramp.
 
 import (
 	"fmt"
@@ -337,8 +333,9 @@
 	}
 }
 
-// told takes an engine's report: the level that all engines seem to stand at, as
-// cores in use or as threads held over a bound's start, of all gateways.
+// told takes an engine's report: the level that all engines seem to stand at, as cores in
+// use or as threads held over a bound's start, of all gateways, or as memory granted where
+// that slows a whole engine once it runs out. Guards against filling an engine that pages.
 func (g *Gateway) told(e *engine, l Load) {
 	if !l.Told || !(max(l.Held, l.Busy) >= 0) {
 		return
@@ -350,6 +347,9 @@
 		g.theirs += (held - g.theirs) / min(g.tolds, 40)
 		e.load = held * g.width / e.cores
 	}
+	if g.set.Short == ShortSwap {
+		e.load = max(e.load, g.full*l.Memory)
+	}
 	e.toldAt, e.load = g.now, min(e.load, 2*g.full)
 	g.fleet.level += (e.load/g.full - g.fleet.level) / 5
 	g.load += (e.load - g.load) / 20
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1168,3 +1168,30 @@
 		t.Fatalf("a part of %.3f after 3 s, want a fifth", got)
 	}
 }
+
+// An engine that holds few queries but has granted more memory than it has pages, and
+// whatever it is sent makes that worse.
+func TestEngineThatHasGrantedItsMemoryIsAvoided(t *testing.T) {
+	for _, c := range []struct {
+		short MemoryShort
+		avoid bool
+	}{{ShortSwap, true}, {ShortWait, false}} {
+		s := settings()
+		s.Short = c.short
+		r := start(t, s, live("e", "a", 1), live("f", "a", 2))
+		to := map[string]int{}
+		for id := uint64(1); id <= 40; id++ {
+			for range 5 {
+				r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: -1, Held: 2, Memory: 1.5}})
+				r.do(Probed{Engine: "f", Result: Served, Load: Load{Told: true, Busy: -1, Held: 2, Memory: 0.3}})
+			}
+			for _, a := range sends(r.arrive(id, "safe")) {
+				to[a.Engine]++
+			}
+			r.ends(id, 0, Served)
+		}
+		if avoided := to["e"] == 0; avoided != c.avoid {
+			t.Errorf("short memory %v: sent %v", c.short, to)
+		}
+	}
+}
