Share a cold engine's budget by traffic, and let it grow as the engine warms

What each may send a cold engine was an equal part of what would push it over when just started, for all of the 15 s. The ten busiest front ends take 36% of the queries, so most of the budget went to those with nothing to send, and stayed at the start's level. Told loads (queries held h, memory m, means of 3 s) at 15 to 21 s show the new engines idle beside jammed old ones: s- (new) h 2 m0.03 | h 3 m0.13 s- (new) h 2 m0.08 | h 4 m0.21 s- (old) h66 m3.23 | h69 m3.43 s- (old) h31 m2.35 | h53 m3.35 refused.cold stayed at 0 as an old engine with room on paper took the query instead. The budget now goes by this gateway's part of the traffic and grows with the engine, as a square, since how it grows is not told.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -370,9 +370,6 @@
 // relief is how far under the usual an engine's told load lies, in threads, less
 // the older the report: what other gateways hold there is not in our backlog.
 func (g *Gateway) relief(e *engine) float64 {
-	if e.toldAt == 0 {
-		return 0
-	}
 	return 0.25 * min(g.load-e.load, 0) * e.cores * math.Exp(-float64(g.now-e.toldAt)/float64(toldFor))
 }
 
@@ -676,7 +673,7 @@
 }
 
 // coldRoom is rule 4: what a cold engine is sent within a span stays under this
-// gateway's equal part of what would push it over. A query of more than the part
+// gateway's part of what would push it over. A query of more than the part
 // goes once in the spans that pay for it, from a start drawn among these, so that
 // all gateways together keep to the sum.
 func (g *Gateway) coldRoom(q *query, e *engine) bool {
@@ -720,10 +717,12 @@
 	e.coldUntil = until
 }
 
-// coldPart is the work that this gateway may send a cold engine within a span.
+// coldPart is the work that this gateway may send a cold engine within a span, of what the
+// engine has grown to. How it grows is not told: it is taken to come late, as a square.
 func (g *Gateway) coldPart(e *engine) float64 {
-	r := g.set.Rules
-	return coldMargin * r.TipMultiple * r.ColdStart * e.cores * ms(r.TipFor) / float64(g.set.Gateways)
+	r, grown := g.set.Rules, g.warm(e)-g.set.Rules.ColdStart
+	now := r.ColdStart + grown*grown/max(1-r.ColdStart, 1e-9)
+	return coldMargin * r.TipMultiple * now * e.cores * ms(r.TipFor) * g.share()
 }
 
 // send is the one place where a query goes out.
