--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 	levelSlack  = 0.3                    // told level under one at which that room is as if nothing were told
 	chance      = 2.0                    // spread in what is held that the bound of all leaves room for
 	spreads     = 3.0                    // mean deviations of latency from which an attempt is overdue
-	toldFor     = 2 * period             // age at which a told load has faded to a third
+	toldFor     = 8 * period             // age at which a told load has faded to a third: wide queries run on
 	mostHeld    = 50.0                   // queries a core that a report is believed to tell at most
 	usualRank   = 2.5                    // priority of a query of the usual worth over its work
 	coldCost    = 1.3                    // and each query counts this much over its expected work
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1224,3 +1224,24 @@
 		t.Errorf("%d sent within a span to an engine nearly warm, %d to a cold one", later, even)
 	}
 }
+
+// Of many gateways each hears of an engine only every few seconds: what it heard must steer
+// it until then.
+func TestToldLoadSteersForSeconds(t *testing.T) {
+	r := start(t, settings(), live("e", "a", 1), live("f", "a", 2))
+	r.g.quiet = time.Hour
+	to := map[string]int{}
+	for id := uint64(1); id <= 40; id++ {
+		for range 5 {
+			r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: -1, Held: 30}})
+			r.do(Probed{Engine: "f", Result: Served, Load: Load{Told: true, Busy: -1, Held: 2}})
+		}
+		for _, a := range sends(r.after(4 * time.Second).arrive(id, "safe")) {
+			to[a.Engine]++
+		}
+		r.ends(id, 0, Served)
+	}
+	if to["e"] > to["f"]/8 {
+		t.Errorf("4 s after the reports, sent %v", to)
+	}
+}
