--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1236,7 +1236,7 @@
 			r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: -1, Held: 30}})
 			r.do(Probed{Engine: "f", Result: Served, Load: Load{Told: true, Busy: -1, Held: 2}})
 		}
-		for _, a := range sends(r.after(4 * time.Second).arrive(id, "safe")) {
+		for _, a := range sends(r.after(4*time.Second).arrive(id, "safe")) {
 			to[a.Engine]++
 		}
 		r.ends(id, 0, Served)
