Open an engine's whole bound to dear queries while it is at ease

A bound opens by worth over estimated work, down to a half. Now that part holds for one engine under pressure only, and for all engines always.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -202,8 +202,8 @@
 	if q.part = 1; ev.Work > 0 { // a step is a quarter; without estimates all of a class would be shed
 		q.part = min(max(1+q.rank/4, overShare), 2-overShare)
 	}
-	if g.overShare(ev.Tenant) {
-		q.part *= overShare
+	if q.open = 1; g.overShare(ev.Tenant) {
+		q.open = overShare
 	}
 	g.queries[q.id] = q
 	g.popular(q.set)
@@ -518,15 +518,16 @@
 	return true
 }
 
-// limit is the part of a bound that is open to the query: more the more it is worth
-// for its work, where that is estimated, less beyond its tenant's share. The bound
-// binds under pressure only: one bad period must not starve what it learns from.
+// limit is the part of a bound open to the query: less beyond its tenant's share and, of all
+// engines or of one under pressure, more the more it is worth for its estimated work.
 func (g *Gateway) limit(q *query, l *loop) float64 {
-	bound := l.top
-	if g.now < l.pressed {
-		bound = l.bound
+	switch {
+	case g.now < l.pressed:
+		return l.bound * q.open * q.part
+	case l == &g.fleet:
+		return l.top * q.open * q.part
 	}
-	return bound * q.part
+	return l.top * q.open // at ease: refusing what is dear would leave the room unused
 }
 
 // open tells whether the query fits all engines together, by the same test.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1143,7 +1143,7 @@
 		f.bound = floorShare
 		f.backlog = 2
 		r.after(c.after).do(Gone{}) // nothing but the time
-		if open := r.g.open(&query{class: r.g.classes["safe"], weight: 1, part: 1}); open != c.open {
+		if open := r.g.open(&query{class: r.g.classes["safe"], weight: 1, open: 1, part: 1}); open != c.open {
 			t.Errorf("latency %v of the aim, %v later: open is %v", c.latency, c.after, open)
 		}
 	}
@@ -1245,3 +1245,14 @@
 		t.Errorf("4 s after the reports, sent %v", to)
 	}
 }
+
+// What is dear for its worth is refused first where room is short, not by an engine at ease.
+func TestDearQueryFitsAnEngineAtEase(t *testing.T) {
+	r := start(t, settings(), live("e", "a", 1))
+	e, dear := r.g.byID["e"], &query{class: r.g.classes["wide"], weight: 4, open: 1, part: 0.5}
+	ease := r.g.limit(dear, &e.loop)
+	e.pressed, e.bound = r.now+time.Second, e.top
+	if pressed := r.g.limit(dear, &e.loop); ease != e.top || pressed != e.top/2 {
+		t.Errorf("of %.1f a dear query has %.1f at ease and %.1f under pressure, want all and half", e.top, ease, pressed)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,7 +70,8 @@
 	id       uint64
 	class    *class
 	rank     float64 // worth over expected work against the usual, as a power of two
-	part     float64 // of a bound that is open to it
+	open     float64 // part of a bound that is open to its tenant
+	part     float64 // and to its worth for its work
 	key      string
 	set      int64
 	memory   float64 // estimate, MB
