End the loop on Stop without waiting for one more timer

Seen: a test whose loop held no further timer hung in `netio.(*Loop).Run` at the select, after Stop had run. Loop.Run looked at `stop` only at the head of the next turn, behind a wait for a wake or the next timer. In service the module's tick ends that wait within 100 ms, so a planned stop ended up to 100 ms late, of the 250 ms kept ahead of the kill. Ruled out: the poller's Shutdown, which is bounded by `stopWithin` and was not reached.

TestStopByTheLastTimer fails without the check (15 s, hung).

--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -148,6 +148,9 @@
 		}
 		l.spare = work[:0]
 		l.Timers.Sweep(l.Now())
+		if l.stop {
+			break
+		}
 		wait := time.Hour
 		if at, ok := l.Timers.Next(); ok {
 			wait = at - l.Now()
