Close connections so that what crosses the close is neither acted on nor resets them

Bytes that the poller had read just before Close were still handed on behind it: nbio tells of the end on a later turn, and Conn.data asked only whether that had been told. A call on a resting connection was then taken and sent on, while its client was told of the close alone and sends it again. 2. Close over bytes that nobody had read reset the connection, and with it the answer that was on its way.

Lines at fault: Conn.data (`if !c.over`), Conn.Close (`c.nc.Close()` at once). Under nbio's lock, as the descriptor's number may be another connection's by then. Ruled out: TCP_NODELAY, which Go sets on both sides before nbio takes the descriptor.

--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -34,9 +34,9 @@
 // lingerMost is how long a closed connection may take to send what waits.
 const lingerMost = 3 * time.Second
 
-// lingerBad is how long a connection stays open, unread, behind its last answer.
-// Guards against a close that overtakes the answer: closing over bytes that were
-// not read resets the connection, and the peer may then never see it.
+// lingerBad is how long a connection stays open behind its last answer for its peer
+// to close it. Guards against a close that overtakes the answer: closing over bytes
+// that were not read resets the connection, and the peer may then never see it.
 const lingerBad = 250 * time.Millisecond
 
 // acceptPause is the rest after a failed accept. Guards against spinning while
@@ -298,8 +298,8 @@
 	nc      *nbio.Conn
 	handler Handler
 	limit   int
-	over    bool // Closed was told
-	closing bool
+	over    bool         // Closed was told
+	closing atomic.Bool  // by Close or Finish: the handler is told of no more data
 	done    func()       // called once it has ended
 	shut    atomic.Bool  // nothing more is read
 	then    func()       // called once all is written
@@ -310,7 +310,9 @@
 	in     Buffer
 	told   bool // a call of Data is on its way
 	paused bool // there may be more to read, and no room
-	held   atomic.Bool
+	// dropped counts what came after Close.
+	dropped int
+	held    atomic.Bool
 }
 
 // read takes what the socket has until the buffer is full. It runs on the poller's
@@ -325,6 +327,12 @@
 			break
 		}
 		n, err := c.nc.Read(buf)
+		if n > 0 && c.closing.Load() { // read, so that the close resets nothing, and dropped
+			if c.dropped += n; c.dropped > c.limit { // its peer goes on at full speed
+				break
+			}
+			continue
+		}
 		if n > 0 {
 			c.in.append(buf[:n])
 			got = true
@@ -369,11 +377,15 @@
 func (c *Conn) data() {
 	c.mu.Lock()
 	c.told = false
-	if !c.over {
-		before := c.in.Len()
+	before := c.in.Len()
+	switch {
+	case c.over:
+	case c.closing.Load(): // what crosses the close must not be acted on: its sender is told of the close alone
+		c.in.Consume(before)
+	default:
 		c.handler.Data(c, &c.in)
-		c.loop.filled.Add(int64(c.in.Len() - before))
 	}
+	c.loop.filled.Add(int64(c.in.Len() - before))
 	resume := c.paused && c.in.Len() < c.room()
 	if resume {
 		c.paused = false
@@ -403,7 +415,7 @@
 
 // Write sends, or queues what the socket does not take at once.
 func (c *Conn) Write(p []byte) {
-	if c.over || c.closing || len(p) == 0 {
+	if c.over || c.closing.Load() || len(p) == 0 {
 		return
 	}
 	c.pending.Add(int64(len(p)))
@@ -426,8 +438,8 @@
 	if c.pending.Load() > 0 || !c.waiting.Swap(false) {
 		return
 	}
-	if c.closing && !c.shut.Load() {
-		_ = c.nc.Close()
+	if c.closing.Load() && !c.shut.Load() {
+		c.hangUp()
 	}
 	if f := c.then; f != nil {
 		c.then = nil
@@ -436,29 +448,55 @@
 }
 
 // Close ends the connection once what was written has been sent. Closed is told,
-// later. nbio's own close would drop what waits.
+// later, and Data no more. nbio's own close would drop what waits.
 func (c *Conn) Close() {
-	if c.closing || c.over {
+	if c.over || c.closing.Swap(true) {
 		return
 	}
-	c.closing = true
 	if c.pending.Load() == 0 {
-		_ = c.nc.Close()
+		c.hangUp()
 		return
 	}
 	c.WhenWritten(nil)
-	c.loop.Timers.Add(c.loop.Now()+lingerMost, func() { _ = c.nc.Close() })
+	c.loop.Timers.Add(c.loop.Now()+lingerMost, c.Abort)
+}
+
+// hangUp says that nothing more will be written, and leaves the peer a moment to say
+// the same. What it sends meanwhile is read and dropped.
+func (c *Conn) hangUp() {
+	if err := c.endWrites(); err != nil {
+		c.Abort()
+		return
+	}
+	c.loop.Timers.Add(c.loop.Now()+lingerBad, c.Abort)
+}
+
+// endWrites shuts the writing side. Under nbio's lock: the poller may be closing the
+// descriptor, and another connection may have its number by then.
+func (c *Conn) endWrites() (err error) {
+	c.nc.Lock()
+	defer c.nc.Unlock()
+	if closed, why := c.nc.IsClosed(); closed {
+		return why
+	}
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if e := raw.Control(func(fd uintptr) { err = syscall.Shutdown(int(fd), syscall.SHUT_WR) }); e != nil {
+		return e
+	}
+	return err
 }
 
 // Finish ends the connection a moment after what was written has been sent, and
 // reads nothing more: its peer has time to read the last of it.
 func (c *Conn) Finish() {
-	if c.closing || c.over {
+	if c.over || c.closing.Swap(true) {
 		return
 	}
-	c.closing = true
 	c.shut.Store(true)
-	c.loop.Timers.Add(c.loop.Now()+lingerBad, func() { _ = c.nc.Close() })
+	c.loop.Timers.Add(c.loop.Now()+lingerBad, c.Abort)
 }
 
 // Abort ends the connection at once.
