--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -117,9 +117,9 @@
 func (f *Front) sweepIdle() {
 	now := f.loop.Now()
 	for k := range f.conns {
-		if k.request == nil && now-k.used > idleMost {
+		if k.resting() && now-k.used > idleMost {
 			f.stats.Add("rest.idle-closed")
-			k.conn.Close()
+			k.shut()
 		}
 	}
 	f.loop.Timers.Add(now+idleMost/4, f.sweepIdle)
@@ -139,7 +139,7 @@
 				k.conn.Abort()
 				continue
 			}
-			if open++; k.request != nil || k.further || k.good && now-k.used < idleLeast || now-k.used < silentLeast {
+			if open++; k.good && (!k.resting() || now-k.used < idleLeast) || k.request != nil || now-k.used < silentLeast {
 				continue
 			}
 			if least == nil || least.good && !k.good || least.good == k.good && k.used < least.used {
@@ -157,8 +157,7 @@
 			return
 		}
 		f.stats.Add("rest.closed-for-room")
-		least.ended = true
-		least.conn.Close()
+		least.shut()
 	}
 }
 
@@ -168,12 +167,13 @@
 // CloseListener takes no new connections; those that are open go on.
 func (f *Front) CloseListener() { _ = f.listener.Close() }
 
-// Drain closes each connection as soon as nothing is open on it.
+// Drain closes each connection as soon as nothing is open on it. A call that has
+// begun to come is taken once it is whole: await bounds the wait for it.
 func (f *Front) Drain() {
 	f.draining = true
 	for k := range f.conns {
-		if k.request == nil && !k.further {
-			k.conn.Close()
+		if k.resting() {
+			k.shut()
 		}
 	}
 }
@@ -201,6 +201,18 @@
 	ended   bool            // nothing more is read
 }
 
+// resting tells that nothing is open on the connection: no request, no result that is
+// fetched part by part, and no call of which a part is here.
+func (k *conn) resting() bool {
+	return k.request == nil && !k.further && !k.ended && k.conn.Unread() == 0
+}
+
+// shut ends the connection from this side: what is read from now on is not acted on.
+func (k *conn) shut() {
+	k.ended = true
+	k.conn.Close()
+}
+
 // Data reads calls until one waits for its answer.
 func (k *conn) Data(_ *netio.Conn, in *netio.Buffer) {
 	for k.request == nil && !k.ended {
@@ -246,8 +258,7 @@
 		}
 		k.front.stats.Add("rest.too-slow")
 		if k.conn.Unread() == 0 {
-			k.ended = true
-			k.conn.Close()
+			k.shut()
 		} else {
 			k.refuse(&fault{408, "the call was not whole in time"})
 		}
