Take no call of a client whose connection has ended already

Found by reading: Front.Data took every call in the buffer of a connection that the poller had seen end, as the word of the end stands behind the data in the loop's queue. Of a client that sends many calls at once and goes, each that was refused at once made room for the next, and what an engine had room for was sent on for nobody. Lines at fault: the loop in rest.(*conn).Data. Conn.Lost now tells of the end ahead of Closed; engine links go on reading what came before it, as an engine may answer and go. Ruled out: the core, which is told of the end in order.

Test: TestClientGoesBehindItsCalls (without: 1 call of a client that has gone was taken).

--- /dev/null
+++ b/internal/front/rest/crossing_test.go
@@ -0,0 +1,92 @@
+package rest
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"gannetspur/internal/config"
+	"gannetspur/internal/core"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+// noLinks leads to no engine.
+type noLinks struct{}
+
+func (noLinks) Send(*core.Attempt)       {}
+func (noLinks) Drop(*core.Attempt)       {}
+func (noLinks) Hurry(*core.Attempt, int) {}
+func (noLinks) Engine(core.Engine)       {}
+
+// A client writes calls and goes before the first of them is looked at: none is taken.
+func TestClientGoesBehindItsCalls(t *testing.T) {
+	raw, err := os.ReadFile("../../../deploy/postgres-settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var site config.Site
+	if err := json.Unmarshal(raw, &site); err != nil {
+		t.Fatal(err)
+	}
+	loop, err := netio.New(256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	counters := stats.New()
+	c, err := core.New(site.Policy, 1, loop, loop.Timers, counters, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetLinks(noLinks{})
+	c.Roster(policy.ListFull, []core.Engine{{Addr: "127.0.0.1:1", Engine: policy.Engine{ID: "e", State: policy.EngineLive}}})
+	f := New(loop, c, Options{}, counters)
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { loop.Run(); close(ended) }()
+	do := func(f func()) {
+		done := make(chan struct{})
+		loop.Post(func() { f(); close(done) })
+		<-done
+	}
+	peer, err := net.Dial("tcp", f.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var k *conn
+	for k == nil {
+		do(func() {
+			for k = range f.conns {
+			}
+		})
+	}
+	const call = "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 900\r\nContent-Length: 8\r\n\r\nSELECT 1"
+	do(func() {
+		if _, err := io.WriteString(peer, call+call); err != nil {
+			t.Error(err)
+		}
+		peer.Close()
+		for by := time.Now().Add(10 * time.Second); !k.conn.Lost() && time.Now().Before(by); {
+			runtime.Gosched()
+		}
+	})
+	do(func() {}) // what the poller told of came before this
+	do(func() {
+		if n := counters.Sum("taken."); n != 0 {
+			t.Errorf("%d calls of a client that has gone were taken", n)
+		}
+		if len(f.conns) != 0 {
+			t.Error("its connection is still there")
+		}
+		loop.Stop()
+	})
+	<-ended
+}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -213,9 +213,14 @@
 	k.conn.Close()
 }
 
-// Data reads calls until one waits for its answer.
+// Data reads calls until one waits for its answer. Of a client that has gone none is
+// taken: it may have left hundreds behind, each of which would be sent on.
 func (k *conn) Data(_ *netio.Conn, in *netio.Buffer) {
 	for k.request == nil && !k.ended {
+		if k.conn.Lost() {
+			in.Consume(in.Len())
+			return
+		}
 		if k.conn.Pending() > slowReader {
 			k.conn.WhenWritten(k.conn.Again)
 			return
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -109,6 +109,7 @@
 	})
 	l.engine.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
+			c.lost.Store(true)
 			l.Post(func() { c.ended(err) })
 		}
 	})
@@ -302,6 +303,7 @@
 	closing atomic.Bool  // by Close or Finish: the handler is told of no more data
 	done    func()       // called once it has ended
 	shut    atomic.Bool  // nothing more is read
+	lost    atomic.Bool  // it has ended, and Closed follows
 	then    func()       // called once all is written
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
@@ -509,5 +511,9 @@
 	return c.in.Len()
 }
 
+// Lost tells that the connection has ended, before Closed is told. What was read of it
+// until then is still handed on.
+func (c *Conn) Lost() bool { return c.lost.Load() }
+
 // RemoteAddr names the peer.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
