Take back attempts that wait for a connection when their client goes or is answered

Found by reading: where the settings permit no cancel, policy.over leaves an attempt out to its end, and the core had no other way to end it. One that waited for its connection (a late connect, up to the connect time-out) was written when that came up, for a client that had gone, or that had its refusal at its deadline: a beginning more than 0.1 s after the client went, and work for nobody. Lines at fault: core.(*Core).close, which ended no attempt; lines.(*link).up, which writes all that is on the link. Withdraw, of links of both wires, takes back only what was not written: that is no cancel, the engine heard nothing. Ruled out: in-order lanes, which drop the query on Gone; further attempts, which Core.send ends as not sent.

Test: TestClientLeavesBeforeTheConnectionIsUp, against a listener whose line is full (without: the engine heard the request of the client that had gone first).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,9 @@
 	Send(a *Attempt)
 	// Drop gives an attempt up that has not ended. Core.End may be left out.
 	Drop(a *Attempt)
+	// Withdraw takes an attempt back that has not been written, and tells whether it
+	// could: nothing of it will reach its engine. Core.End is left to the caller.
+	Withdraw(a *Attempt) bool
 	// Hurry sets the priority of an attempt that is out.
 	Hurry(a *Attempt, priority int)
 	// Engine tells of an engine's entry or of a change to it.
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -22,8 +22,15 @@
 	c.leave(r)
 }
 
-// close marks that nothing is owed any more.
+// close marks that nothing is owed any more. An attempt that still waits for its
+// connection must not begin for a client that has gone or has its answer; that needs no
+// leave to cancel, as its engine has heard nothing of it.
 func (c *Core) close(r *Request) {
 	r.answered = true
 	c.unended--
+	for _, a := range r.tries {
+		if !a.ended && c.links.Withdraw(a) {
+			c.End(a, EndNotSent, Report{})
+		}
+	}
 }
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -236,6 +236,16 @@
 	l.closeIfDone()
 }
 
+// Withdraw takes back an attempt whose connection is not up yet.
+func (ls *Links) Withdraw(a *core.Attempt) bool {
+	s, ok := a.Link.(*stream)
+	if !ok || s.written {
+		return false
+	}
+	ls.Drop(a)
+	return true
+}
+
 // forget drops the ids that may be used again: a link that lives for days would
 // else keep all that were ever given up on it.
 func (l *link) forget() {
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -213,6 +213,16 @@
 	})
 }
 
+// Withdraw takes back an attempt whose connection is not ready yet.
+func (ls *Links) Withdraw(a *core.Attempt) bool {
+	l, ok := a.Link.(*link)
+	if !ok || l.attempt != a || l.written {
+		return false
+	}
+	l.clear()
+	return true
+}
+
 type silent struct{}
 
 func (silent) Data(_ *netio.Conn, in *netio.Buffer) { in.Consume(in.Len()) }
--- a/internal/front/rest/crossing_test.go
+++ b/internal/front/rest/crossing_test.go
@@ -20,10 +20,11 @@
 // noLinks leads to no engine.
 type noLinks struct{}
 
-func (noLinks) Send(*core.Attempt)       {}
-func (noLinks) Drop(*core.Attempt)       {}
-func (noLinks) Hurry(*core.Attempt, int) {}
-func (noLinks) Engine(core.Engine)       {}
+func (noLinks) Send(*core.Attempt)          {}
+func (noLinks) Drop(*core.Attempt)          {}
+func (noLinks) Withdraw(*core.Attempt) bool { return false }
+func (noLinks) Hurry(*core.Attempt, int)    {}
+func (noLinks) Engine(core.Engine)          {}
 
 // A client writes calls and goes before the first of them is looked at: none is taken.
 func TestClientGoesBehindItsCalls(t *testing.T) {
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -1,9 +1,17 @@
 package stories
 
 import (
+	"bufio"
 	"io"
+	"net"
+	"os"
 	"runtime"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"gannetspur/policy"
 )
 
 // arrive writes text and holds the loop until the poller has read it: what the loop
@@ -52,3 +60,84 @@
 		t.Errorf("%d clients given up", n)
 	}
 }
+
+// lateEngine is an engine whose connections don't come up before accept is called: its
+// line of connections is full.
+func lateEngine(t *testing.T, serve func(net.Conn)) (addr string, accept func()) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil { // one may wait
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "late")
+	ln, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	t.Cleanup(func() { ln.Close() })
+	first := dial(t, ln.Addr().String())
+	return ln.Addr().String(), func() {
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if c.RemoteAddr().String() == first.LocalAddr().String() {
+					continue
+				}
+				_ = c.SetDeadline(time.Now().Add(patience))
+				go func() { defer c.Close(); serve(c) }()
+			}
+		}()
+	}
+}
+
+// A client leaves while its attempt waits for a connection that comes up late: nothing
+// of it reaches the engine, also where the settings permit no cancel. What another
+// client asks meanwhile goes on.
+func TestClientLeavesBeforeTheConnectionIsUp(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		heard := make(chan string, 9)
+		addr, accept := lateEngine(t, func(c net.Conn) {
+			for r := bufio.NewReader(c); ; {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				if w := strings.Fields(line); len(w) == 4 && w[0] == "want" {
+					heard <- w[1]
+					_, _ = io.WriteString(c, done(line, ""))
+				}
+			}
+		})
+		g := newGateway(t, func(s *policy.Settings) { s.Limits.Cancel = cancel })
+		g.site.ConnectTimeout = patience
+		g.platform(addr)
+		leaves, stays := httpConnect(t, g.addr), httpConnect(t, g.addr)
+		_, _ = io.WriteString(leaves.c, post("lookup", ""))
+		for g.count("sent.") < 1 {
+			runtime.Gosched()
+		}
+		const other = "0000000000000002"
+		_, _ = io.WriteString(stays.c, strings.NewReplacer(id, other, "2000", "8000").Replace(post("lookup", "")))
+		leaves.c.Close()
+		for g.count("gone.") < 1 {
+			runtime.Gosched()
+		}
+		if n := g.count("ended.not-sent"); n != 1 {
+			t.Errorf("cancel %v: %d attempts taken back with their client, want 1", cancel, n)
+		}
+		accept()
+		got, _ := stays.call("")
+		same(t, "the other client's answer", got, `200 {"result":[]}`)
+		same(t, "the engine heard first", await(t, heard), other)
+	}
+}
