Tell engines of attempts given up only where the settings permit a cancel

Found by reading: lines.Links.Drop wrote `never_mind` whatever the settings said. A result whose pages are still to be fetched is let go of with `shut` as before: its engine is done with it. Line at fault: `l.conn.Write([]byte(word + ...))` in Drop. Ruled out: policy.cancel, which asks Limits.Cancel.

Test: TestNoCancelWhereItIsRuledOut (without: the engine was told 1 times, want 0).

--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -215,7 +215,8 @@
 	s.link.conn.Write(b)
 }
 
-// Drop gives an attempt up.
+// Drop gives an attempt up. Its engine is told where the settings permit a cancel; a
+// result that waits to be fetched is no work any more, and may be let go of anyway.
 func (ls *Links) Drop(a *core.Attempt) {
 	s, ok := a.Link.(*stream)
 	if !ok {
@@ -224,18 +225,24 @@
 	l := s.link
 	delete(l.streams, a.Request.ID)
 	if s.written && l.conn != nil { // a lost link ends its streams one by one
-		l.forget()
-		l.past[a.Request.ID] = ls.core.Now() + pastFor
-		l.oldest = append(l.oldest, a.Request.ID)
-		word := "never_mind "
-		if s.missing > 0 { // it is done, and only its pages are still wanted
-			word = "shut "
+		l.pass(a.Request.ID)
+		switch {
+		case s.missing > 0:
+			l.conn.Write([]byte("shut " + a.Request.ID + "\r\n"))
+		case ls.site.Policy.Limits.Cancel:
+			l.conn.Write([]byte("never_mind " + a.Request.ID + "\r\n"))
 		}
-		l.conn.Write([]byte(word + a.Request.ID + "\r\n"))
 	}
 	l.closeIfDone()
 }
 
+// pass has an id not be used again on this link for a while.
+func (l *link) pass(id string) {
+	l.forget()
+	l.past[id] = l.all.core.Now() + pastFor
+	l.oldest = append(l.oldest, id)
+}
+
 // Withdraw takes back an attempt whose connection is not up yet.
 func (ls *Links) Withdraw(a *core.Attempt) bool {
 	s, ok := a.Link.(*stream)
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -141,3 +141,37 @@
 		same(t, "the engine heard first", await(t, heard), other)
 	}
 }
+
+// An attempt runs out of time at an engine that hangs: the engine is told only where the
+// settings permit a cancel, and the client has its one answer either way.
+func TestNoCancelWhereItIsRuledOut(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		addr, seen := lineEngine(t, func(line string) string {
+			if w := strings.Fields(line); strings.HasSuffix(w[1], "2") {
+				return done(line, "")
+			}
+			return ""
+		})
+		g := newGateway(t, func(s *policy.Settings) { s.Limits.Cancel = cancel })
+		g.platform(addr)
+		late := httpConnect(t, g.addr)
+		got, _ := late.call(strings.Replace(post("lookup", ""), "2000", "200", 1))
+		if !strings.HasPrefix(got, "50") {
+			t.Errorf("cancel %v: the client was told %s", cancel, got)
+		}
+		for g.count("ended.") < 1 {
+			runtime.Gosched()
+		}
+		got, _ = late.call(strings.Replace(post("lookup", ""), id, "0000000000000002", 1))
+		same(t, "the next answer", got, `200 {"result":[]}`)
+		told := 0
+		for line := ""; !strings.HasPrefix(line, "want 0000000000000002"); {
+			if line = await(t, seen); strings.HasPrefix(line, "never_mind") {
+				told++
+			}
+		}
+		if want := map[bool]int{true: 1}[cancel]; told != want {
+			t.Errorf("cancel %v: the engine was told %d times, want %d", cancel, told, want)
+		}
+	}
+}
