Give a further attempt at the same engine a connection that has not had its id

Found by reading: answers name a request's id, and all attempts of a request have the same. Line at fault: lines.(*link).finish, which freed the id at once; Drop already kept it from its connection for 30 s. Ruled out: second copies of good answers, as their request is over and ids are new with every request.

--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -425,6 +425,8 @@
 	l.used = l.all.core.Now()
 	if end == core.EndServed {
 		s.report.Result = s.pages
+	} else if s.written { // a second copy of this end, or a page, must not be taken for the next attempt's
+		l.pass(s.attempt.Request.ID)
 	}
 	l.all.core.End(s.attempt, end, s.report)
 	l.closeIfDone()
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -175,3 +175,35 @@
 		}
 	}
 }
+
+// An engine turns an attempt away and says so twice. The further attempt has the same id:
+// the second copy must not end it, or a third would be sent while it runs.
+func TestSecondCopyOfAnEnd(t *testing.T) {
+	tries := 0
+	addr, seen := lineEngine(t, func(line string) string {
+		w := strings.Fields(line)
+		switch {
+		case w[0] != "want":
+			return ""
+		case strings.HasSuffix(w[1], "2"): // the word that the engine is still there
+			return done(line, "")
+		}
+		if tries++; tries == 1 {
+			return strings.Repeat(w[1]+" WAIT - 0\r\n\r\n", 2)
+		}
+		return ""
+	})
+	g := platform(t, addr)
+	k := httpConnect(t, g.addr)
+	_, _ = io.WriteString(k.c, post("lookup", ""))
+	await(t, seen)
+	await(t, seen)
+	got, _ := httpConnect(t, g.addr).call(strings.Replace(post("lookup", ""), id, "0000000000000002", 1))
+	same(t, "another request", got, `200 {"result":[]}`)
+	if n := g.count("sent.lookup"); n != 3 {
+		t.Errorf("%d attempts sent, want 2 of the first request and 1 of the other", n)
+	}
+	if n := g.count("ended.full"); n != 1 {
+		t.Errorf("%d attempts ended as turned away, want 1", n)
+	}
+}
