Pass the tenant and the order key of a call on to the module

Found by reading, with the question what another customer's settings would change: the front read neither `Req-Owner` nor `Req-Key`, so where the settings name tenants every request counted as beyond all shares (half of each bound, policy.overShare), and classes kept in order were sent without any order. Lines at fault: the list of fields in rest/parse.go, Front.take, core.admit. Not seen on this site, which has neither.

Tests: TestTenantWithinItsShare (without: 14 sent within the share, 14 beyond), TestOrderKey (without: 3 sent while the first of the key runs; the client that had gone was sent on).

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -5,7 +5,7 @@
 // admit puts a request before the module, which sends or refuses it.
 func (c *Core) admit(r *Request) {
 	c.tell(policy.Arrive{
-		Query: r.query, Class: r.Class, Set: r.Set, Deadline: r.Deadline,
+		Query: r.query, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Set: r.Set, Deadline: r.Deadline,
 		Work: r.Work, MemoryMB: r.MemoryMB, Repeat: r.Repeat,
 	})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,8 @@
 type Request struct {
 	ID        string // the client's, passed on unchanged
 	Class     string
+	Tenant    string // who asks, where the settings name tenants; "": unsaid
+	Key       string // order key, of a class that is kept in order; "": none
 	Token     string // idempotency key; "": none
 	Statement any    // what the front read, for links of the same wire
 	Set       int64  // group of tables
--- a/internal/front/rest/parse.go
+++ b/internal/front/rest/parse.go
@@ -34,7 +34,7 @@
 // fields are the header fields that are read; all others are passed by.
 var fields = map[string]bool{
 	"content-length": true, "transfer-encoding": true, "connection": true, "req-id": true, "req-wait-ms": true,
-	"req-retry": true, "req-token": true, "req-cost": true, "req-kb": true,
+	"req-retry": true, "req-token": true, "req-cost": true, "req-kb": true, "req-owner": true, "req-key": true,
 }
 
 // parse reads one call; n is 0 while it is not whole.
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -347,6 +347,7 @@
 	text := string(c.body)
 	r := &core.Request{
 		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
+		Tenant: c.head["req-owner"], Key: c.head["req-key"],
 		Deadline: f.core.Now() + config.FromMS(wait),
 	}
 	var cost float64
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -207,3 +208,87 @@
 		t.Errorf("%d attempts ended as turned away, want 1", n)
 	}
 }
+
+// Where the settings name tenants, one within its share has the whole bound; who names
+// none of them has the part that is open beyond the shares.
+func TestTenantWithinItsShare(t *testing.T) {
+	sent := map[string]int64{}
+	for _, head := range []string{"Req-Owner: north\r\n", ""} {
+		addr, _ := lineEngine(t, func(string) string { return "" })
+		g := newGateway(t, func(s *policy.Settings) {
+			s.Gateways = 1
+			s.Tenants = []policy.Tenant{{Name: "north", Quota: 500, Share: 1}}
+		}).platform(addr)
+		for n := range int64(80) {
+			k := httpConnect(t, g.addr)
+			_, _ = io.WriteString(k.c, strings.Replace(post("lookup", head), id, fmt.Sprintf("%016x", n+1), 1))
+			for g.count("taken.") <= n {
+				runtime.Gosched()
+			}
+		}
+		sent[head] = g.count("sent.")
+	}
+	if in, beyond := sent["Req-Owner: north\r\n"], sent[""]; 2*in < 3*beyond {
+		t.Errorf("%d sent within the share, %d beyond", in, beyond)
+	}
+}
+
+// Requests of one order key run one at a time, in turn. A client that goes while it
+// waits for its turn is not sent on.
+func TestOrderKey(t *testing.T) {
+	held := make(chan string, 9)
+	release := make(chan string)
+	addr := listen(t, func(c net.Conn) {
+		go func() {
+			for id := range release {
+				_, _ = io.WriteString(c, done("want "+id, ""))
+			}
+		}()
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if w := strings.Fields(line); len(w) == 4 && w[0] == "want" {
+				held <- w[1]
+			}
+		}
+	})
+	g := newGateway(t, func(s *policy.Settings) {
+		for i := range s.Classes {
+			s.Classes[i].InOrder = true
+		}
+	})
+	g.platform(addr)
+	const one, two, three = "0000000000000001", "0000000000000002", "0000000000000003"
+	ask := func(id, key string) *httpClient {
+		k := httpConnect(t, g.addr)
+		_, _ = io.WriteString(k.c, strings.NewReplacer("9b1f03aa5c7e2d41", id, "2000", "8000").Replace(post("lookup", "Req-Key: "+key+"\r\n")))
+		return k
+	}
+	taken := func(n int64) {
+		for g.count("taken.") < n {
+			runtime.Gosched()
+		}
+	}
+	first := ask(one, "k")
+	same(t, "first at the engine", await(t, held), one)
+	leaves := ask(two, "k")
+	taken(2)
+	last := ask(three, "k")
+	taken(3)
+	if n := g.count("sent."); n != 1 {
+		t.Errorf("%d sent while the first of the key runs, want 1", n)
+	}
+	leaves.c.Close()
+	for g.count("gone.") < 1 {
+		runtime.Gosched()
+	}
+	release <- one
+	got, _ := first.call("")
+	same(t, "first answer", got, `200 {"result":[]}`)
+	same(t, "next at the engine", await(t, held), three)
+	release <- three
+	got, _ = last.call("")
+	same(t, "last answer", got, `200 {"result":[]}`)
+}
