Count a request that found its connection ended as never sent, and send it elsewhere

Found by reading where an idle close crosses a new request: netio.Conn.Write threw the error of a write on an ended connection away, and the attempt ended as reset with its link, that is as one that may have run. Of a class that is unsafe to repeat the request was answered as failed, though nothing of it had left. Lines at fault: `_, _ = c.nc.Write(p)`, and lines.(*stream).want, which took every write as done. nbio tells an error only where it took none of the bytes. A write that was taken before the reset came may have run, as before. Ruled out: watchIdle, which retires a link at 0.8 of the engines' idle time; a reset can come at any time.

Test: TestResetCrossesUnsafeRequest (without: 500 Failed, 0 attempts ended as not sent).

--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -211,8 +211,10 @@
 	b = strconv.AppendInt(append(b, ",nice="...), int64(a.Priority), 10)
 	b = strconv.AppendInt(append(b, ' '), int64(len(stmt)), 10)
 	b = append(append(append(b, "\r\n"...), stmt...), "\r\n"...)
-	s.written = true
-	s.link.conn.Write(b)
+	if s.written = s.link.conn.Write(b); !s.written {
+		s.link.retired = true
+		s.link.finish(s, core.EndNotSent)
+	}
 }
 
 // Drop gives an attempt up. Its engine is told where the settings permit a cancel; a
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -415,13 +415,18 @@
 	c.handler.Closed(c, err)
 }
 
-// Write sends, or queues what the socket does not take at once.
-func (c *Conn) Write(p []byte) {
-	if c.over || c.closing.Load() || len(p) == 0 {
-		return
+// Write sends, or queues what the socket does not take at once. It is false where the
+// connection has ended: Closed tells why, and nothing of p has left.
+func (c *Conn) Write(p []byte) bool {
+	if c.over || c.closing.Load() {
+		return false
+	}
+	if len(p) == 0 {
+		return true
 	}
 	c.pending.Add(int64(len(p)))
-	_, _ = c.nc.Write(p) // a failure closes the connection, and Closed tells
+	_, err := c.nc.Write(p)
+	return err == nil
 }
 
 // Pending is the number of bytes that wait to be sent.
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -292,3 +292,40 @@
 	got, _ = last.call("")
 	same(t, "last answer", got, `200 {"result":[]}`)
 }
+
+// An engine resets a resting connection in the moment in which a request is to go out on
+// it. Nothing of that left, so a request that is unsafe to repeat goes out anew.
+func TestResetCrossesUnsafeRequest(t *testing.T) {
+	conns := make(chan *net.TCPConn, 9)
+	addr := listen(t, func(c net.Conn) {
+		conns <- c.(*net.TCPConn)
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if w := strings.Fields(line); len(w) == 4 && w[0] == "want" {
+				_, _ = io.WriteString(c, done(line, ""))
+			}
+		}
+	})
+	g := newGateway(t, func(s *policy.Settings) {
+		for i := range s.Classes {
+			s.Classes[i].Effect = policy.Unsafe
+		}
+	}).platform(addr)
+	k := httpConnect(t, g.addr)
+	got, _ := k.call(strings.Replace(post("lookup", ""), id, "0000000000000001", 1))
+	same(t, "the first answer", got, `200 {"result":[]}`)
+	rests := await(t, conns)
+	g.do(func() {
+		g.arrive(k, post("lookup", "")) // first in the loop's queue
+		_ = rests.SetLinger(0)
+		rests.Close()
+	})
+	got, _ = k.call("")
+	same(t, "the answer", got, `200 {"result":[]}`)
+	if n := g.count("ended.not-sent"); n != 1 {
+		t.Errorf("%d attempts ended as not sent, want 1", n)
+	}
+}
