Bound how long one engine answer may take to come, not only its pauses

Found by reading, on answers in pieces: lines.(*link).Data began the 500 ms of `stallMost` anew with every piece, so an answer of which a byte comes now and then held its connection, and all requests on it, to their deadlines. Where no cancel is permitted nothing else ends them. Now an answer has four pauses' time from its first piece. Ruled out: `maxLine` and `maxBody`, which bound its size only.

Test: TestAnswerThatNeverEnds (without: 503 at the deadline of 8 s, 1 attempt without an end).

--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -29,6 +29,9 @@
 	pastFor = 30 * time.Second
 	// stallMost is how long an answer may stop in the middle: they come in one piece.
 	stallMost = 500 * time.Millisecond
+	// wholeWithin is how long one may take that comes in pieces. Guards against one that
+	// never ends: all else on its connection waits behind it.
+	wholeWithin = 4 * stallMost
 	// idlePart of the engines' idle time is when an idle connection is closed from
 	// here, so that no send crosses a close from there.
 	idlePart = 0.8
@@ -65,6 +68,7 @@
 	past    map[string]time.Duration // ids given up here, until then
 	oldest  []string                 // the same ids, oldest first
 	stall   *deadline.Entry          // ends the link in the middle of an answer
+	begun   time.Duration            // when the answer began of which a part is here; 0: none
 	retired bool                     // takes no more
 	used    time.Duration
 	end     core.End // why it is being closed from here
@@ -273,11 +277,13 @@
 
 // Data reads the answers that are whole.
 func (l *link) Data(_ *netio.Conn, in *netio.Buffer) {
+	now := l.all.loop.Now()
 	for l.end == core.EndUnknown {
 		a, n, err := parse(in.Bytes())
 		if err == nil && n > 0 {
 			err = l.answer(a)
 			in.Consume(n)
+			l.begun = 0
 		}
 		if err != nil {
 			l.spoilt(err)
@@ -288,11 +294,15 @@
 		}
 	}
 	l.stall.Stop()
-	if in.Len() > 0 && l.end == core.EndUnknown {
-		l.stall = l.all.loop.Timers.Add(l.all.loop.Now()+stallMost, func() {
-			l.spoilt(errors.New("an answer stopped in the middle"))
-		})
+	if in.Len() == 0 || l.end != core.EndUnknown {
+		return
+	}
+	if l.begun == 0 {
+		l.begun = now
 	}
+	l.stall = l.all.loop.Timers.Add(min(now+stallMost, l.begun+wholeWithin), func() {
+		l.spoilt(errors.New("an answer stopped in the middle, or never ends"))
+	})
 }
 
 // spoilt ends the link, and with it all that is open on it: where one answer can't
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -329,3 +329,38 @@
 		t.Errorf("%d attempts ended as not sent, want 1", n)
 	}
 }
+
+// An answer comes a byte at a time and never ends. Its connection ends with it while the
+// clients still wait, and another engine, or the same one anew, serves them.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	dripping := make(chan struct{}, 1)
+	addr := listen(t, func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			w := strings.Fields(line)
+			if len(w) != 4 || w[0] != "want" {
+				continue
+			}
+			select {
+			case dripping <- struct{}{}:
+				_, err = fmt.Fprintf(c, "%s DONE batches=1 9000\r\n", w[1])
+				for ; err == nil; _, err = io.WriteString(c, "a") {
+					time.Sleep(100 * time.Millisecond) // the engine's pace
+				}
+				return
+			default:
+				_, _ = io.WriteString(c, done(line, ""))
+			}
+		}
+	})
+	g := newGateway(t, func(s *policy.Settings) { s.Limits.Cancel = false }).platform(addr)
+	k := httpConnect(t, g.addr)
+	got, _ := k.call(strings.Replace(post("lookup", ""), "2000", "8000", 1))
+	same(t, "answer", got, `200 {"result":[]}`)
+	if n := g.count("ended.garbage"); n != 1 {
+		t.Errorf("%d attempts ended with the connection, want 1", n)
+	}
+}
