Bound the connections to engines so that the roster and clients keep their descriptors

Found by reading, on idle clients that fill the descriptors while discovery is down: clients were bounded, connections to engines were not. Line at fault: lines.(*Links).dial, which opened without a bound. Now the one idle longest goes for a new one; where all are at work the attempt ends as one that never ran, at once. 24 descriptors stay for the program and the roster. Ruled out: accepted clients, which wait at the listener past their bound.

Test: TestRoomForLinks (without: 0 idle connections closed for room, want 2).

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -149,7 +149,9 @@
 	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
 		return err
 	}
-	g.core.SetLinks(lines.New(g.loop, g.core, cfg.Site, g.counters, g.log))
+	links := lines.New(g.loop, g.core, cfg.Site, g.counters, g.log)
+	links.Most = mostLinks(cfg.Sockets)
+	g.core.SetLinks(links)
 	for _, ev := range cfg.Known {
 		mode := policy.ListChanges
 		if ev.Whole {
@@ -272,6 +274,19 @@
 	return max(sockets*3/4-32, 8)
 }
 
+// ownDescriptors are those that neither clients nor engines may take: the program's own,
+// those of connections that are being closed, and the roster's, which has to come back
+// when it was away while all else was full.
+const ownDescriptors = 24
+
+// mostLinks is how many connections to engines the clients leave room for.
+func mostLinks(sockets int) int {
+	if sockets <= 0 {
+		sockets = usualSockets
+	}
+	return max(sockets-mostClients(sockets)-rest.SpareClients-ownDescriptors, 4)
+}
+
 // limitResources keeps the garbage collector well under the memory limit. More
 // than one P, also on one core: the poller's wait holds one.
 func limitResources(memoryMB int) {
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -42,12 +42,17 @@
 
 // Links holds the connections to all engines.
 type Links struct {
+	// Most bounds how many there are, so that they leave descriptors to the roster and to
+	// clients; 0: no bound. Past it an idle one goes. Set it before the first Send.
+	Most int
+
 	loop    *netio.Loop
 	core    *core.Core
 	site    config.Site
 	stats   *stats.Counters
 	log     *slog.Logger
 	engines *engine.Pool[*link]
+	open    map[*link]struct{} // that may take more, from their dials on
 }
 
 // New returns links that report to the core.
@@ -56,7 +61,7 @@
 	if site.ConnectTimeout <= 0 {
 		site.ConnectTimeout = 250 * time.Millisecond
 	}
-	return &Links{loop: loop, core: c, site: site, stats: counters, log: l, engines: engine.NewPool[*link]()}
+	return &Links{loop: loop, core: c, site: site, stats: counters, log: l, engines: engine.NewPool[*link](), open: map[*link]struct{}{}}
 }
 
 // link is one connection, from the start of its dial.
@@ -96,6 +101,10 @@
 		return
 	}
 	l := room(e, a.Request.ID, ls.site.MaxStreams, ls.core.Now())
+	if l == nil && !ls.makeRoom() {
+		ls.core.End(a, core.EndNoDescriptor, core.Report{})
+		return
+	}
 	if l == nil {
 		l = ls.dial(e)
 	}
@@ -119,9 +128,30 @@
 	return nil
 }
 
+// makeRoom tells whether there may be one more link, for which the one that has been idle
+// longest is closed where there are too many.
+func (ls *Links) makeRoom() bool {
+	if ls.Most <= 0 || len(ls.open) < ls.Most {
+		return true
+	}
+	var least *link
+	for l := range ls.open {
+		if l.conn != nil && len(l.streams) == 0 && (least == nil || l.used < least.used) {
+			least = l
+		}
+	}
+	if least == nil {
+		return false
+	}
+	ls.stats.Add("links.closed-for-room")
+	least.Retire()
+	return true
+}
+
 func (ls *Links) dial(e *engine.Engine[*link]) *link {
 	l := &link{all: ls, engine: e, streams: map[string]*stream{}, past: map[string]time.Duration{}}
 	e.Links = append(e.Links, l)
+	ls.open[l] = struct{}{}
 	ls.stats.Add("links.dialed")
 	ls.loop.Dial(e.Addr, ls.site.ConnectTimeout, maxBuffer, l, func(c *netio.Conn, err error) {
 		if err == nil {
@@ -181,10 +211,15 @@
 
 // Retire has the link take no more.
 func (l *link) Retire() {
-	l.retired = true
+	l.retire()
 	l.closeIfDone()
 }
 
+func (l *link) retire() {
+	l.retired = true
+	delete(l.all.open, l)
+}
+
 func (l *link) closeIfDone() {
 	if l.retired && l.conn != nil && len(l.streams) == 0 {
 		l.end = core.EndIdle
@@ -216,7 +251,7 @@
 	b = strconv.AppendInt(append(b, ' '), int64(len(stmt)), 10)
 	b = append(append(append(b, "\r\n"...), stmt...), "\r\n"...)
 	if s.written = s.link.conn.Write(b); !s.written {
-		s.link.retired = true
+		s.link.retire()
 		s.link.finish(s, core.EndNotSent)
 	}
 }
@@ -312,7 +347,8 @@
 		return
 	}
 	l.all.log.Warn("engine.unreadable", "engine", l.engine.ID, "error", err)
-	l.end, l.retired = core.EndGarbage, true
+	l.end = core.EndGarbage
+	l.retire()
 	l.conn.Abort()
 }
 
@@ -457,7 +493,8 @@
 }
 
 func (l *link) lost(end core.End) {
-	l.retired, l.conn = true, nil
+	l.retire()
+	l.conn = nil
 	l.stall.Stop()
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -39,9 +39,9 @@
 	// slowReader is how much may wait to be sent before no more calls are taken.
 	// Guards against a client that asks and does not read.
 	slowReader = 256 << 10
-	// spareClients is how many may be accepted past the limit while others are being
+	// SpareClients is how many may be accepted past the limit while others are being
 	// closed for them.
-	spareClients = 16
+	SpareClients = 16
 )
 
 // Options bound what clients may take.
@@ -96,7 +96,7 @@
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, func(c *netio.Conn) netio.Handler {
+	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+SpareClients, func(c *netio.Conn) netio.Handler {
 		f.stats.Add("rest.connections")
 		k := &conn{front: f, conn: c, used: f.loop.Now()}
 		f.conns[k] = struct{}{}
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -364,3 +364,43 @@
 		t.Errorf("%d attempts ended with the connection, want 1", n)
 	}
 }
+
+// Past the most connections to engines the one that is idle longest goes; where all are at
+// work a request is answered at once, and none is opened.
+func TestRoomForLinks(t *testing.T) {
+	quick := func(line string) string { return done(line, "") }
+	one, _ := lineEngine(t, quick)
+	two, _ := lineEngine(t, quick)
+	hangs, seen := lineEngine(t, func(string) string { return "" })
+	four, _ := lineEngine(t, quick)
+	g := newGateway(t, nil)
+	g.mostLinks, g.streams = 2, 1
+	g.platform()
+	k := httpConnect(t, g.addr)
+	turn := func(text string, addr string) string {
+		g.roster(policy.EngineLive, addr)
+		defer g.roster(policy.EngineDraining, addr)
+		got, _ := k.call(text)
+		return got
+	}
+	same(t, "first", turn(post("lookup", ""), one), `200 {"result":[]}`)
+	same(t, "second", turn(post("lookup", ""), two), `200 {"result":[]}`)
+	if n := g.count("links.closed-for-room"); n != 0 {
+		t.Errorf("%d closed while there was room", n)
+	}
+	g.roster(policy.EngineLive, hangs)
+	for n := range 2 { // a connection each
+		open := httpConnect(t, g.addr)
+		_, _ = io.WriteString(open.c, strings.Replace(post("lookup", ""), id, fmt.Sprintf("%016x", n+1), 1))
+		await(t, seen)
+	}
+	g.roster(policy.EngineDraining, hangs)
+	if n := g.count("links.closed-for-room"); n != 2 {
+		t.Errorf("%d idle connections closed for room, want 2", n)
+	}
+	dialed := g.count("links.dialed")
+	same(t, "all at work", turn(post("lookup", ""), four), `503 {"fault":"Busy"}`)
+	if n := g.count("links.dialed"); n != dialed {
+		t.Errorf("%d connections opened past the most", n-dialed)
+	}
+}
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -40,7 +40,9 @@
 	addr    string
 	rest    *rest.Front
 	options rest.Options
-	pgwire  pgwire.Options
+	// mostLinks bounds the connections to engines, streams the requests on one.
+	mostLinks, streams int
+	pgwire             pgwire.Options
 }
 
 // newGateway reads the settings of the deploy folder; change may change them.
@@ -119,8 +121,12 @@
 func (g *gateway) platform(engines ...string) *gateway {
 	t := g.t
 	t.Helper()
-	g.site.MaxStreams = 32
-	g.core.SetLinks(lines.New(g.loop, g.core, g.site, g.stats, g.log))
+	if g.site.MaxStreams = g.streams; g.streams == 0 {
+		g.site.MaxStreams = 32
+	}
+	links := lines.New(g.loop, g.core, g.site, g.stats, g.log)
+	links.Most = g.mostLinks
+	g.core.SetLinks(links)
 	f := rest.New(g.loop, g.core, g.options, g.stats)
 	if err := f.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
