Ask a bus that is away again within half of the time that a drain leaves

Found by reading, on discovery that is down and comes back: the pause between two dials doubled up to 1 s, while an event counts as told as soon as the bus has it, and nothing may go to a drained engine 500 ms later. An engine that begins to drain as the bus returns was sent requests for up to half a second too long. Line at fault: `mostPause = time.Second` in roster/bus. The bound now comes from the settings' drain grace. Ruled out: silence itself, given up after 2.5 s of the 4 s that count.

Test: TestBusReturns (without: the bus is back and nobody asks).

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -161,6 +161,9 @@
 	}
 	if cfg.Bus != "" {
 		follower := bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
+		if grace := cfg.Site.Policy.Rules.DrainGrace; grace > 0 {
+			follower.MostPause = grace / 2
+		}
 		follower.Start()
 		g.reload = func() error {
 			next, err := config.Load(path)
--- a/internal/roster/bus/bus.go
+++ b/internal/roster/bus/bus.go
@@ -24,7 +24,8 @@
 	maxSilence = 2500 * time.Millisecond // an empty frame comes each second
 	dialWithin = time.Second
 	firstPause = 50 * time.Millisecond
-	mostPause  = time.Second
+	// usualPause is the most between two dials where nothing else is said.
+	usualPause = 250 * time.Millisecond
 )
 
 // Roster is what is told of the engines.
@@ -34,6 +35,11 @@
 
 // Follower keeps one connection to the bus.
 type Follower struct {
+	// MostPause is how long the bus may be back without being asked. What it has to tell
+	// counts as told from then on, so it has to be well under the time that a drain
+	// leaves to heed it. Set it before Start.
+	MostPause time.Duration
+
 	loop   *netio.Loop
 	addr   string
 	last   uint64 // number of the last event taken
@@ -58,7 +64,7 @@
 func New(loop *netio.Loop, addr string, last uint64, zones, kinds []string, r Roster, counters *stats.Counters, l *slog.Logger) *Follower {
 	return &Follower{
 		loop: loop, addr: addr, last: last, zones: zones, kinds: kinds,
-		roster: r, stats: counters, log: l, quiet: maxSilence, pause: firstPause,
+		roster: r, stats: counters, log: l, quiet: maxSilence, pause: firstPause, MostPause: usualPause,
 	}
 }
 
@@ -140,7 +146,7 @@
 	f.stats.Add("bus.reconnects")
 	f.log.Warn("bus.lost", "bus", f.addr, "error", err, "again_in", f.pause)
 	f.retry = f.loop.Timers.Add(f.loop.Now()+f.pause, f.Start)
-	f.pause = min(2*f.pause, mostPause)
+	f.pause = min(2*f.pause, f.MostPause)
 }
 
 // Data reads the frames that are whole.
--- a/internal/roster/bus/bus_test.go
+++ b/internal/roster/bus/bus_test.go
@@ -126,6 +126,42 @@
 	}
 }
 
+// A bus that was away for long is asked again well within the time that a drain leaves:
+// what it tells counts as told from its return on.
+func TestBusReturns(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	loop, err := netio.New(1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	counters := stats.New()
+	f := New(loop, addr, 0, nil, nil, make(recorder, 1), counters, slog.New(slog.DiscardHandler))
+	loop.Post(f.Start)
+	done := make(chan struct{})
+	go func() { loop.Run(); close(done) }()
+	defer func() { loop.Post(func() { f.Stop(); loop.Stop() }); <-done }()
+	for n, by := int64(0), time.Now().Add(10*time.Second); n < 8 && time.Now().Before(by); { // just refused, and patient by now
+		told := make(chan int64)
+		loop.Post(func() { told <- counters.Get("bus.reconnects") })
+		n = <-told
+	}
+	if ln, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(500 * time.Millisecond))
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatalf("the bus is back and nobody asks: %v", err)
+	}
+	c.Close()
+}
+
 // Frames from a broken bus are refused, never read past their end.
 func FuzzParse(f *testing.F) {
 	f.Add(frame(4, 2, record(7, 70, 0, 0)...))
