Count a call's time from its last byte, not from its turn on the connection

Found by reading, on pipelined calls: a call that waits in the buffer behind an open one was given its whole time anew when its turn came (`Deadline: f.core.Now() + wait`), so it was sent on for a client that had waited it out, and answered after its time. PROTOCOL: a request's time counts from its last byte. Line at fault: rest.(*Front).take. The poller now notes when the latest bytes of a connection were read. Ruled out: the module, which refuses at once what comes past its deadline.

Test: TestPipelinedCallsTimeRuns (without: 2 sent, want the first alone).

--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -348,7 +348,8 @@
 	r := &core.Request{
 		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
 		Tenant: c.head["req-owner"], Key: c.head["req-key"],
-		Deadline: f.core.Now() + config.FromMS(wait),
+		// From its last byte, not from its turn behind another call on the connection.
+		Deadline: k.conn.Came() + config.FromMS(wait),
 	}
 	var cost float64
 	for _, v := range []struct {
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -304,6 +304,7 @@
 	done    func()       // called once it has ended
 	shut    atomic.Bool  // nothing more is read
 	lost    atomic.Bool  // it has ended, and Closed follows
+	came    atomic.Int64 // when the latest bytes were read
 	then    func()       // called once all is written
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
@@ -337,6 +338,7 @@
 		}
 		if n > 0 {
 			c.in.append(buf[:n])
+			c.came.Store(int64(c.loop.Now()))
 			got = true
 			// Guards against many peers that each stop in the middle of a long message.
 			if c.loop.filled.Add(int64(n)) > c.loop.Budget && c.in.Len() > readSize {
@@ -520,5 +522,8 @@
 // until then is still handed on.
 func (c *Conn) Lost() bool { return c.lost.Load() }
 
+// Came tells when the latest bytes were read.
+func (c *Conn) Came() time.Duration { return time.Duration(c.came.Load()) }
+
 // RemoteAddr names the peer.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
--- a/internal/stories/crossings_test.go
+++ b/internal/stories/crossings_test.go
@@ -448,3 +448,22 @@
 		same(t, "the engine that drains heard", await(t, heard), "end")
 	}
 }
+
+// Calls come together on one connection, and the first waits out its time at an engine
+// that hangs. The time of the second ran too, from its last byte: it is answered at once
+// when its turn comes, and not sent on for a client that has waited it out.
+func TestPipelinedCallsTimeRuns(t *testing.T) {
+	addr, seen := lineEngine(t, func(string) string { return "" })
+	g := platform(t, addr)
+	k := httpConnect(t, g.addr)
+	first := strings.Replace(post("lookup", ""), "2000", "300", 1)
+	second := strings.NewReplacer(id, "0000000000000002", "2000", "200").Replace(post("lookup", ""))
+	got, _ := k.call(first + second)
+	same(t, "the first", got, `503 {"fault":"Busy"}`)
+	got, _ = k.call("")
+	same(t, "the second", got, `503 {"fault":"Busy"}`)
+	same(t, "the engine heard", await(t, seen)[:21], "want "+id)
+	if n := g.count("sent."); n != 1 {
+		t.Errorf("%d sent, want the first alone", n)
+	}
+}
