--- a/cmd/ringwood/reload_test.go
+++ b/cmd/ringwood/reload_test.go
@@ -125,7 +125,14 @@
 
 func start(t *testing.T, args string) *program {
 	t.Helper()
-	p := &program{t: t, cmd: exec.Command(os.Args[0], "-test.run=^TestHangup$")}
+	return startTest(t, "TestHangup", args)
+}
+
+// startTest runs a test of this file's program in a process of its own, which finds its
+// part in the environment.
+func startTest(t *testing.T, name, args string) *program {
+	t.Helper()
+	p := &program{t: t, cmd: exec.Command(os.Args[0], "-test.run=^"+name+"$")}
 	p.cmd.Env = append(os.Environ(), childEnv+"="+args)
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
