--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -349,7 +349,7 @@
 		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
 		Tenant: c.head["req-owner"], Key: c.head["req-key"],
 		// From its last byte, not from its turn behind another call on the connection.
-		Deadline: k.conn.Came() + config.FromMS(wait),
+		Deadline: k.conn.LastRead() + config.FromMS(wait),
 	}
 	var cost float64
 	for _, v := range []struct {
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -295,27 +295,27 @@
 
 // Conn is one connection. Its methods are for the loop's goroutine.
 type Conn struct {
-	loop    *Loop
-	nc      *nbio.Conn
-	handler Handler
-	limit   int
-	over    bool         // Closed was told
-	closing atomic.Bool  // by Close or Finish: the handler is told of no more data
-	done    func()       // called once it has ended
-	shut    atomic.Bool  // nothing more is read
-	lost    atomic.Bool  // it has ended, and Closed follows
-	came    atomic.Int64 // when the latest bytes were read
-	then    func()       // called once all is written
-	pending atomic.Int64 // bytes not yet written
-	waiting atomic.Bool  // the loop wants to know when there are none
+	loop     *Loop
+	nc       *nbio.Conn
+	handler  Handler
+	limit    int
+	over     bool         // Closed was told
+	closing  atomic.Bool  // by Close or Finish: the handler is told of no more data
+	done     func()       // called once it has ended
+	shut     atomic.Bool  // nothing more is read
+	lost     atomic.Bool  // it has ended, and Closed follows
+	lastRead atomic.Int64 // when the latest bytes were read
+	then     func()       // called once all is written
+	pending  atomic.Int64 // bytes not yet written
+	waiting  atomic.Bool  // the loop wants to know when there are none
 
 	mu     sync.Mutex
 	in     Buffer
 	told   bool // a call of Data is on its way
 	paused bool // there may be more to read, and no room
-	// dropped counts what came after Close.
-	dropped int
-	held    atomic.Bool
+	// discarded counts what came after Close.
+	discarded int
+	held      atomic.Bool
 }
 
 // read takes what the socket has until the buffer is full. It runs on the poller's
@@ -330,15 +330,15 @@
 			break
 		}
 		n, err := c.nc.Read(buf)
-		if n > 0 && c.closing.Load() { // read, so that the close resets nothing, and dropped
-			if c.dropped += n; c.dropped > c.limit { // its peer goes on at full speed
+		if n > 0 && c.closing.Load() { // read, so that the close resets nothing, and discarded
+			if c.discarded += n; c.discarded > c.limit { // its peer goes on at full speed
 				break
 			}
 			continue
 		}
 		if n > 0 {
 			c.in.append(buf[:n])
-			c.came.Store(int64(c.loop.Now()))
+			c.lastRead.Store(int64(c.loop.Now()))
 			got = true
 			// Guards against many peers that each stop in the middle of a long message.
 			if c.loop.filled.Add(int64(n)) > c.loop.Budget && c.in.Len() > readSize {
@@ -448,7 +448,7 @@
 		return
 	}
 	if c.closing.Load() && !c.shut.Load() {
-		c.hangUp()
+		c.halfClose()
 	}
 	if f := c.then; f != nil {
 		c.then = nil
@@ -463,26 +463,26 @@
 		return
 	}
 	if c.pending.Load() == 0 {
-		c.hangUp()
+		c.halfClose()
 		return
 	}
 	c.WhenWritten(nil)
 	c.loop.Timers.Add(c.loop.Now()+lingerMost, c.Abort)
 }
 
-// hangUp says that nothing more will be written, and leaves the peer a moment to say
-// the same. What it sends meanwhile is read and dropped.
-func (c *Conn) hangUp() {
-	if err := c.endWrites(); err != nil {
+// halfClose says that nothing more will be written, and leaves the peer a moment to say
+// the same. What it sends meanwhile is read and discarded.
+func (c *Conn) halfClose() {
+	if err := c.closeWrite(); err != nil {
 		c.Abort()
 		return
 	}
 	c.loop.Timers.Add(c.loop.Now()+lingerBad, c.Abort)
 }
 
-// endWrites shuts the writing side. Under nbio's lock: the poller may be closing the
+// closeWrite shuts the writing side. Under nbio's lock: the poller may be closing the
 // descriptor, and another connection may have its number by then.
-func (c *Conn) endWrites() (err error) {
+func (c *Conn) closeWrite() (err error) {
 	c.nc.Lock()
 	defer c.nc.Unlock()
 	if closed, why := c.nc.IsClosed(); closed {
@@ -522,8 +522,8 @@
 // until then is still handed on.
 func (c *Conn) Lost() bool { return c.lost.Load() }
 
-// Came tells when the latest bytes were read.
-func (c *Conn) Came() time.Duration { return time.Duration(c.came.Load()) }
+// LastRead tells when the latest bytes were read.
+func (c *Conn) LastRead() time.Duration { return time.Duration(c.lastRead.Load()) }
 
 // RemoteAddr names the peer.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
