Give the tests of a returning bus an address whose port nothing else takes

Seen, in one of 16 plays of the new tests with four side by side: `descriptors_test.go:139: listen tcp 127.0.0.1:36459: bind: address already in use`. The bus's port is free while discovery is down, and a connection of another test took it. At fault: the two tests' own address; what they check is as before. 127.0.0.77 is no connection's source here.

--- a/cmd/ringwood/descriptors_test.go
+++ b/cmd/ringwood/descriptors_test.go
@@ -60,7 +60,8 @@
 		}
 		return
 	}
-	bus, err := net.Listen("tcp", "127.0.0.1:0")
+	// At an address of its own: a connection out could else take the port while it is free.
+	bus, err := net.Listen("tcp", "127.0.0.77:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/roster/bus/bus_test.go
+++ b/internal/roster/bus/bus_test.go
@@ -129,7 +129,8 @@
 // A bus that was away for long is asked again well within the time that a drain leaves:
 // what it tells counts as told from its return on.
 func TestBusReturns(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// At an address of its own: a connection out could else take the port while it is free.
+	ln, err := net.Listen("tcp", "127.0.0.77:0")
 	if err != nil {
 		t.Fatal(err)
 	}
