--- /dev/null
+++ b/cmd/flaxrelay/syscalls_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"flaxrelay/internal/lab/syscallfault"
+	"flaxrelay/internal/tcptest"
+)
+
+// clientTimeout is how long a client of a faulty process waits for an answer.
+const clientTimeout = 2200 * time.Millisecond
+
+// listeningAddress matches the address in the log event server.listening.
+var listeningAddress = regexp.MustCompile(`msg=server.listening addr=([0-9.:]+)`)
+
+// startFaulty runs the calling test, which must call serveInChild, in a traced process of
+// its own with one engine, and returns the process and the address it listens at.
+func startFaulty(t *testing.T, engine string, faults syscallfault.Faults) (p *syscallfault.Process, address string) {
+	t.Helper()
+	dir := t.TempDir()
+	config := filepath.Join(dir, "config.json")
+	writeFile(t, config, strings.NewReplacer(exampleEngineAddress, engine, exampleListenAddress, tcptest.AnyLoopbackPort).
+		Replace(readFile(t, exampleConfig)))
+	logPath := filepath.Join(dir, "log")
+	log, err := os.Create(logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeQuietly(log)
+	name, _, _ := strings.Cut(t.Name(), "/")
+	p, err = syscallfault.Start(os.Args[0], []string{"-test.run=^" + name + "$"}, append(os.Environ(), configVariable+"="+config), log, 1, faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.Signal(syscall.SIGKILL) // it may have ended
+		<-p.Ended()
+	})
+	for deadline := time.Now().Add(processTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if match := listeningAddress.FindStringSubmatch(readFile(t, logPath)); match != nil {
+			return p, match[1]
+		}
+	}
+	t.Fatalf("the process does not listen: %s", readFile(t, logPath))
+	return nil, ""
+}
+
+// lookupOnce sends one request on a connection of its own and returns the answer's status.
+func lookupOnce(address, requestID string) (status string, err error) {
+	conn, err := net.DialTimeout("tcp", address, clientTimeout)
+	if err != nil {
+		return "", err
+	}
+	defer closeQuietly(conn)
+	if err := conn.SetDeadline(time.Now().Add(clientTimeout)); err != nil {
+		return "", err
+	}
+	request := strings.Replace(lookupRequest(requestID), "Req-Wait-Ms: 6000", "Req-Wait-Ms: 1500", 1)
+	if _, err := io.WriteString(conn, request); err != nil {
+		return "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	defer closeQuietly(response.Body)
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return "", err
+	}
+	return response.Status, nil
+}
+
+// TestFaultySystemCalls_EveryRequestIsServed plays clients against a front end whose system
+// calls are cut short or interrupted. None of these faults excuses a missing answer.
+func TestFaultySystemCalls_EveryRequestIsServed(t *testing.T) {
+	if serveInChild(t) {
+		return
+	}
+	for name, faults := range map[string]syscallfault.Faults{
+		"short writes":       {ShortWrite: 0.2},
+		"interrupted writes": {InterruptWrite: 0.2},
+		"short reads":        {ShortRead: 0.2},
+		"interrupted reads":  {InterruptRead: 0.2, InterruptWait: 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, address := startFaulty(t, startEngine(t, answerWithoutRows), faults)
+			unserved := playClients(address)
+			if len(unserved) > 0 {
+				t.Errorf("%d of %d requests not served, such as %s; faults %v", len(unserved), clients*requestsPerClient, unserved[0], p.Counts())
+			}
+		})
+	}
+}
+
+// The load of playClients.
+const (
+	clients           = 8
+	requestsPerClient = 15
+)
+
+// playClients has clients send requests one after the other, and returns what became of
+// those that were not served.
+func playClients(address string) (unserved []string) {
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	for client := range clients {
+		done.Go(func() {
+			for n := range requestsPerClient {
+				id := sequentialRequestID(client*requestsPerClient + n)
+				status, err := lookupOnce(address, id)
+				if status == "200 OK" && err == nil {
+					continue
+				}
+				mu.Lock()
+				unserved = append(unserved, fmt.Sprintf("%s: %s, %v", id, status, err))
+				mu.Unlock()
+			}
+		})
+	}
+	done.Wait()
+	return unserved
+}
