Judge W-TinyLFU in the flood test by the mean of five plays

Cause: the hit rate of one play is a random variable: otter draws the seed of its sketch's hash anew, and the misses of low plays are of the rarest shapes (rank 100 and beyond), whose counters are shared with others. Ruled out: a larger record (339 shapes and 261.9 KB both), another stream of statements (the same text). Change: the mean of five plays has to be at least 0.955, in place of 0.95 for one play. It is stricter: a median that fell to 0.95 passed every second time.

--- a/internal/lab/experiment/evaluate_test.go
+++ b/internal/lab/experiment/evaluate_test.go
@@ -38,19 +38,38 @@
 	}
 }
 
+// floodPlays is how often the flood is played past W-TinyLFU. Its hit rate scatters from play
+// to play, as the seed of the cache's hash function differs: whether one of the rarest recurring
+// shapes is admitted depends on what its counters are shared with. Over 960 plays the mean was
+// 0.972, the standard deviation 0.007 and the least 0.932; the mean of five stayed above the bound
+// in all but some 3 of 100,000 samples drawn from them.
+const (
+	floodPlays       = 5
+	floodMeanHitRate = 0.955
+)
+
 // During a flood of shapes that never recur, W-TinyLFU keeps those that do within its limit.
 func TestFlood_TinyLFUKeepsRecurringShapesWithinItsBytes(t *testing.T) {
 	opts := FloodOptions{Seed: 1, Recurring: 200, OneOff: 60000, RecurringShare: 0.2, CacheBytes: 256 << 10}
-	for name, least := range map[string]float64{"w-tinylfu": 0.95, "lru": 0, "2q": 0} {
+	play := func(name string) FloodResult {
 		r, err := Flood(name, opts)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if r.HitRate < least || r.CountedBytes > opts.CacheBytes+opts.CacheBytes/10 {
+		if r.CountedBytes > opts.CacheBytes+opts.CacheBytes/10 {
 			t.Errorf("%+v", r)
 		}
-		if name == "lru" && r.HitRate > 0.95 {
-			t.Errorf("the flood does not press: LRU found %.3f", r.HitRate)
-		}
+		return r
+	}
+	sum := 0.0
+	for range floodPlays {
+		sum += play("w-tinylfu").HitRate
+	}
+	if mean := sum / floodPlays; mean < floodMeanHitRate {
+		t.Errorf("hit rate of W-TinyLFU %.4f, mean of %d plays", mean, floodPlays)
+	}
+	if r := play("lru"); r.HitRate > 0.95 {
+		t.Errorf("the flood does not press: LRU found %.3f", r.HitRate)
 	}
+	play("2q")
 }
