Poll sockets level-triggered by epoll(7) in place of nbio

Cause: nbio's Conn.write queues the rest of a short or interrupted write and waits for an edge (EPOLLET; its modWrite does nothing without EPOLLONESHOT), which the kernel raises only after a write found the buffer full. Ruled out: reads, waits and accepts (the same test with those faults passed); the queue of the front end (pendingWrite stayed above 0). Change: a socket writes until EAGAIN and waits for EPOLLOUT level-triggered, so any call that is cut short is followed by another. Tokens instead of descriptors name sockets, so a stale event can't reach the next socket, and a socket that can't be polled reports one end, not two: both were open faults. Reads stop at the first short read, which saves one call each.

--- a/cmd/flaxrelay/server.go
+++ b/cmd/flaxrelay/server.go
@@ -53,7 +53,7 @@
 // startCore makes the event loop and the dispatcher, which every protocol needs.
 func (s *server) startCore(settings policy.Settings, seed uint64, limits resourceLimits) (err error) {
 	limits.applyToRuntime()
-	if s.loop, err = eventloop.New(limits.descriptors); err != nil {
+	if s.loop, err = eventloop.New(); err != nil {
 		return err
 	}
 	s.loop.BufferBudget = int64(limits.memoryFraction(loopBufferDivisor))
--- a/internal/discovery/eventbus/helpers_test.go
+++ b/internal/discovery/eventbus/helpers_test.go
@@ -62,7 +62,7 @@
 // startWatcher starts a watcher on a loop that runs until the test's end.
 func startWatcher(t *testing.T, opts options) {
 	t.Helper()
-	loop, err := eventloop.New(1024)
+	loop, err := eventloop.New()
 	discoverytest.Must(t, err)
 	if opts.log == nil {
 		opts.log = slog.DiscardHandler
--- a/internal/e2e/frontend_helpers_test.go
+++ b/internal/e2e/frontend_helpers_test.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// maxSockets bounds the sockets of one front end under test.
-	maxSockets = 1024
 	// defaultStreams is the number of requests in flight on one engine connection, where a
 	// test does not choose its own.
 	defaultStreams = 32
@@ -62,7 +60,7 @@
 	if change != nil {
 		change(&front.site.Policy)
 	}
-	if front.loop, err = eventloop.New(maxSockets); err != nil {
+	if front.loop, err = eventloop.New(); err != nil {
 		t.Fatal(err)
 	}
 	const seed = 1
--- a/internal/engine/connection_test.go
+++ b/internal/engine/connection_test.go
@@ -159,7 +159,7 @@
 // runLoop runs an event loop until the end of the test.
 func runLoop(t *testing.T) *eventloop.Loop {
 	t.Helper()
-	loop, err := eventloop.New(64)
+	loop, err := eventloop.New()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/enginetest/exchange.go
+++ b/internal/engine/enginetest/exchange.go
@@ -35,8 +35,6 @@
 	engineID = "e1"
 	// pollInterval is the pause between two looks at a state that the client sets.
 	pollInterval = time.Millisecond
-	// maxDescriptors is the descriptor limit of the event loop.
-	maxDescriptors = 1024
 )
 
 // fixedClock stands still: the time that an attempt has left is then its whole timeout,
@@ -93,7 +91,7 @@
 	x.Check(json.Unmarshal([]byte(protocol.Settings), &env.Site))
 	x.listener = tcptest.Listen(t, tcptest.AnyLoopbackPort)
 	var err error
-	x.loop, err = eventloop.New(maxDescriptors)
+	x.loop, err = eventloop.New()
 	x.Check(err)
 	env.Loop = x.loop
 	env.Dispatcher, err = lifecycle.NewDispatcher(env.Site.Policy, 1, fixedClock{}, timerqueue.New(), x.Counters, env.Log)
--- a/internal/eventloop/close.go
+++ b/internal/eventloop/close.go
@@ -1,8 +1,9 @@
 package eventloop
 
 import (
-	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxDrainTime is how long a connection may take, from Close on, to send what is pending.
@@ -13,13 +14,13 @@
 // unread bytes resets the connection, and the peer may then never see that answer.
 const lingerTime = 250 * time.Millisecond
 
-// Close ends the connection once what was written has been sent: nbio's own close would
-// drop it. OnClosed is called later, and OnData no longer.
+// Close ends the connection once what was written has been sent. OnClosed is called later, and OnData no longer.
 func (c *Conn) Close() {
 	if c.loadState() != connOpen {
 		return
 	}
 	c.setState(connDraining)
+	c.Redeliver() // drops what was read, and resumes reading where the buffer was full
 	if c.pendingWrite.Load() == 0 {
 		c.halfClose()
 		return
@@ -35,38 +36,19 @@
 		return
 	}
 	c.setState(connLingering)
+	c.socket.waitFor(unix.EPOLLRDHUP)
 	c.loop.Timers.Schedule(c.loop.Now()+lingerTime, c.Abort)
 }
 
 // Abort ends the connection at once and drops what is pending.
-func (c *Conn) Abort() { _ = c.socket.Close() }
+func (c *Conn) Abort() { c.socket.close(nil) }
 
 // halfClose shuts the write side, and leaves the peer a moment to close its own. What
 // the peer sends meanwhile is read and discarded.
 func (c *Conn) halfClose() {
-	if err := c.closeWrite(); err != nil {
+	if err := c.socket.shutdownWrite(); err != nil {
 		c.Abort()
 		return
 	}
 	c.loop.Timers.Schedule(c.loop.Now()+lingerTime, c.Abort)
 }
-
-// closeWrite shuts the write side. It holds nbio's lock, since the poller may be closing
-// the descriptor, and another connection may have its number by then.
-func (c *Conn) closeWrite() error {
-	c.socket.Lock()
-	defer c.socket.Unlock()
-	if closed, reason := c.socket.IsClosed(); closed {
-		return reason
-	}
-	rawConn, err := c.socket.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var shutdownErr error
-	err = rawConn.Control(func(fd uintptr) { shutdownErr = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-	if err != nil {
-		return err
-	}
-	return shutdownErr
-}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 // Handler takes the events of one connection, on the loop's goroutine.
@@ -43,7 +41,7 @@
 type Conn struct {
 	// Set once, by adopt.
 	loop      *Loop
-	socket    *nbio.Conn
+	socket    *socket
 	handler   Handler
 	readLimit int    // the largest size of the read buffer, in bytes
 	onEnded   func() // called once the connection has ended
@@ -56,9 +54,9 @@
 	// The loop's goroutine alone.
 	onFlushed func() // called once nothing is pending; may be nil
 
-	pendingWrite atomic.Int64 // bytes not yet sent: added by the loop, subtracted by nbio's writes
+	pendingWrite atomic.Int64 // bytes not yet sent: added by the loop, subtracted as they are sent
 	lastReadAt   atomic.Int64 // a Duration as of Loop.Now; written with mu held
-	disconnected atomic.Bool  // nbio has closed the socket; finish follows
+	disconnected atomic.Bool  // the socket is closed; finish follows
 
 	mu              sync.Mutex
 	in              Buffer // guarded by mu, as are those below
@@ -68,20 +66,19 @@
 }
 
 // adopt hands a connected socket to the poller. The function onEnded is called once the
-// connection has ended.
-func (l *Loop) adopt(socket *nbio.Conn, readLimit int, newHandler func(*Conn) Handler, onEnded func()) (*Conn, error) {
-	c := new(Conn)
-	c.mu.Lock() // the poller goes through the same lock before it reads a field
-	c.loop, c.socket, c.readLimit, c.onEnded = l, socket, readLimit, onEnded
-	c.mu.Unlock()
-	c.handler = newHandler(c)
-	socket.SetSession(c)
-	l.connections[c] = struct{}{}
-	if _, err := l.poller.AddConn(socket); err != nil {
-		_ = socket.Close()
-		l.Post(func() { c.finish(err) })
+// connection has ended. After an error the socket is closed, and neither newHandler nor
+// onEnded is called.
+func (l *Loop) adopt(s *socket, readLimit int, newHandler func(*Conn) Handler, onEnded func()) (*Conn, error) {
+	c := &Conn{loop: l, socket: s, readLimit: readLimit, onEnded: onEnded}
+	s.owner, s.poller = c, l.poller
+	if err := l.poller.add(s); err != nil {
+		s.owner = nil
+		s.close(err)
 		return nil, fmt.Errorf("poll the connection: %w", err)
 	}
+	l.connections[c] = struct{}{}
+	// The poller may have read already; what it posts runs after this.
+	c.handler = newHandler(c)
 	return c, nil
 }
 
@@ -89,6 +86,12 @@
 
 func (c *Conn) setState(s connState) { c.state.Store(int32(s)) }
 
+// ended notes that the socket is closed. It may be called from any goroutine.
+func (c *Conn) ended(err error) {
+	c.disconnected.Store(true)
+	c.loop.Post(func() { c.finish(err) })
+}
+
 // finish ends the connection for the loop and the handler, once.
 func (c *Conn) finish(err error) {
 	if c.loadState() == connClosed {
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 // Dial connects within the timeout and calls done on the loop's goroutine. The handler's
@@ -15,30 +13,30 @@
 func (l *Loop) Dial(addr string, timeout time.Duration, readLimit int, h Handler, done func(*Conn, error)) (cancel func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	go func() {
-		socket, err := connect(ctx, addr)
+		s, err := connect(ctx, addr)
 		cancel()
 		l.Post(func() {
 			if err != nil {
 				done(nil, err)
 				return
 			}
-			done(l.adopt(socket, readLimit, func(*Conn) Handler { return h }, func() {}))
+			done(l.adopt(s, readLimit, func(*Conn) Handler { return h }, func() {}))
 		})
 	}()
 	return cancel
 }
 
-// connect dials and makes the connection nbio's.
-func connect(ctx context.Context, addr string) (*nbio.Conn, error) {
+// connect dials and makes the connection a socket.
+func connect(ctx context.Context, addr string) (*socket, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	socket, err := nbio.NBConn(conn)
+	s, err := convert(conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return socket, nil
+	return s, nil
 }
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -32,7 +32,7 @@
 // startLoop returns a loop that runs, and a channel that is closed when Run returns.
 func startLoop(t *testing.T) (l *Loop, ended <-chan struct{}) {
 	t.Helper()
-	l, err := New(256)
+	l, err := New()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -4,8 +4,6 @@
 	"errors"
 	"net"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 // acceptRetryDelay is the pause after a failed accept. It prevents a busy loop while the
@@ -60,14 +58,15 @@
 
 // handOver passes an accepted connection to the loop, or closes it.
 func (a *acceptor) handOver(conn net.Conn) {
-	socket := convert(conn)
-	if socket == nil {
+	s := convertAccepted(conn)
+	if s == nil {
 		a.releaseSlot()
 		return
 	}
 	a.loop.Post(func() {
-		// An error has reached the handler by OnClosed.
-		_, _ = a.loop.adopt(socket, a.readLimit, a.newHandler, a.releaseSlot)
+		if _, err := a.loop.adopt(s, a.readLimit, a.newHandler, a.releaseSlot); err != nil {
+			a.releaseSlot()
+		}
 	})
 }
 
@@ -83,15 +82,15 @@
 	}
 }
 
-// convert makes an accepted connection nbio's, for which it takes a second descriptor
-// for a moment, and returns nil where it can't. Where the first was the last, it waits
+// convertAccepted makes an accepted connection a socket, for which it takes a second
+// descriptor for a moment, and returns nil where it can't. Where the first was the last, it waits
 // for another before the next connection is accepted: closing this one would reject a
 // client, and accepting more would leave no descriptor for any.
-func convert(conn net.Conn) *nbio.Conn {
+func convertAccepted(conn net.Conn) *socket {
 	for range maxConvertAttempts {
-		socket, err := nbio.NBConn(conn)
+		s, err := convert(conn)
 		if err == nil {
-			return socket
+			return s
 		}
 		if !IsDescriptorExhausted(err) {
 			break
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -1,18 +1,15 @@
-// Package eventloop runs the program's sockets and timers. One nbio poller reads into
+// Package eventloop runs the program's sockets and timers. One poller reads into
 // the buffer of each connection; everything else, the handlers above all, happens on
 // the one goroutine that calls Loop.Run.
 package eventloop
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"flaxrelay/internal/timerqueue"
-
-	"github.com/lesismal/nbio"
 )
 
 // defaultBufferBudget is the BufferBudget of a new loop, in bytes.
@@ -38,11 +35,11 @@
 
 	startedAt     time.Time
 	startedAtUnix time.Duration // startedAt as the time since the Unix epoch
-	poller        *nbio.Engine
+	poller        *poller
 	bufferedBytes atomic.Int64
 
 	// The loop's goroutine owns these.
-	readBuffer  []byte // for reads that the loop resumes itself
+	readBuffer  []byte // for reads on this goroutine
 	connections map[*Conn]struct{}
 	stopped     bool
 	recycled    []func() // backing array of the latest turn's functions, for reuse
@@ -52,9 +49,8 @@
 	posted []func() // guarded by mu
 }
 
-// New returns a loop whose poller runs. The poller's tables are sized for maxFiles file
-// descriptors; 0 leaves nbio's default.
-func New(maxFiles int) (*Loop, error) {
+// New returns a loop whose poller runs.
+func New() (*Loop, error) {
 	now := time.Now()
 	l := &Loop{
 		Timers:        timerqueue.New(),
@@ -65,8 +61,8 @@
 		connections:   map[*Conn]struct{}{},
 		wakeUp:        make(chan struct{}, 1),
 	}
-	l.poller = l.newPoller(maxFiles)
-	if err := l.poller.Start(); err != nil {
+	var err error
+	if l.poller, err = startPoller(); err != nil {
 		return nil, fmt.Errorf("start the poller: %w", err)
 	}
 	return l, nil
@@ -138,9 +134,7 @@
 	for c := range l.connections {
 		c.Abort()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), pollerShutdownTimeout)
-	defer cancel()
-	_ = l.poller.Shutdown(ctx) // a poller that takes longer ends with the process
+	l.poller.stop(pollerShutdownTimeout) // one that takes longer ends with the process
 }
 
 // Stop ends Run after the present turn. It is for the loop's goroutine.
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -1,54 +1,150 @@
 package eventloop
 
 import (
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// readSize is how much one read takes, in bytes. A connection whose read-ahead is
-// limited goes on being read up to this size.
-const readSize = 32 << 10
-
-// maxPendingWrite bounds, in bytes, what is queued for a peer that reads slowly; past it
-// nbio closes the connection.
-const maxPendingWrite = 8 << 20
-
-// spareFiles is how many descriptors beyond the program's own limit nbio has room for.
-const spareFiles = 64
-
-// newPoller returns an nbio engine whose events go to the connections of this loop. The
-// session of each nbio connection is its *Conn.
-func (l *Loop) newPoller(maxFiles int) *nbio.Engine {
-	logging.SetLevel(logging.LevelNone)
-	if maxFiles > 0 {
-		nbio.MaxOpenFiles = maxFiles + spareFiles
-	}
-	poller := nbio.NewEngine(nbio.Config{
-		Name:               "flaxrelay",
-		NPoller:            1,
-		ReadBufferSize:     readSize,
-		MaxWriteBufferSize: maxPendingWrite,
-		// Edge-triggered, so that what is left unread while a buffer is full raises no
-		// further event.
-		EpollMod: nbio.EPOLLET,
-	})
-	poller.OnOpen(func(*nbio.Conn) {})
-	readBuffer := make([]byte, readSize) // of the poller's goroutine
-	poller.OnRead(func(socket *nbio.Conn) {
-		if c, ok := socket.Session().(*Conn); ok {
-			c.read(readBuffer)
+const (
+	// readSize is how much one read takes, in bytes. A connection whose read-ahead is
+	// limited goes on being read up to this size.
+	readSize = 32 << 10
+
+	// maxPendingWrite bounds, in bytes, what is queued for a peer that reads slowly; past
+	// it the connection is closed.
+	maxPendingWrite = 8 << 20
+
+	// eventsPerWait is how many events one wait returns at most.
+	eventsPerWait = 256
+
+	// waitRetryDelay is the pause after a wait that failed for a passing reason.
+	waitRetryDelay = 10 * time.Millisecond
+)
+
+// poller waits for the sockets of all connections on a goroutine of its own, by a
+// level-triggered epoll(7): what a read or a write leaves over raises the next event, so
+// that a call which was cut short or interrupted is always followed by another.
+type poller struct {
+	epoll   int
+	wakeUp  int // an eventfd: readable once the poller is to end
+	stopped chan struct{}
+
+	mu        sync.Mutex
+	sockets   map[uint64]*socket // guarded by mu; by token
+	lastToken uint64             // guarded by mu
+}
+
+// wakeUpToken is the token of the eventfd.
+const wakeUpToken = 0
+
+// startPoller returns a poller that runs.
+func startPoller() (*poller, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll_create1: %w", err)
+	}
+	wakeUp, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		_ = unix.Close(epoll)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	p := &poller{epoll: epoll, wakeUp: wakeUp, stopped: make(chan struct{}), sockets: map[uint64]*socket{}}
+	if err := p.control(unix.EPOLL_CTL_ADD, wakeUp, wakeUpToken, unix.EPOLLIN); err != nil {
+		p.closeDescriptors()
+		return nil, err
+	}
+	go p.run()
+	return p, nil
+}
+
+// control changes what the poller waits for on a descriptor.
+func (p *poller) control(operation, descriptor int, token uint64, events uint32) error {
+	event := unix.EpollEvent{Events: events, Fd: int32(token), Pad: int32(token >> 32)}
+	if err := unix.EpollCtl(p.epoll, operation, descriptor, &event); err != nil {
+		return fmt.Errorf("epoll_ctl: %w", err)
+	}
+	return nil
+}
+
+// tokenOf returns the token that control was given for the event's descriptor.
+func tokenOf(event *unix.EpollEvent) uint64 {
+	return uint64(uint32(event.Fd)) | uint64(uint32(event.Pad))<<32
+}
+
+// add begins to wait for a socket. Tokens are never used twice: an event of a socket that
+// has been closed meanwhile finds nothing, even where another has its descriptor by then.
+func (p *poller) add(s *socket) error {
+	p.mu.Lock()
+	p.lastToken++
+	s.token = p.lastToken
+	p.sockets[s.token] = s
+	p.mu.Unlock()
+	err := p.control(unix.EPOLL_CTL_ADD, s.descriptor, s.token, s.interest)
+	if err != nil {
+		p.remove(s)
+	}
+	return err
+}
+
+// remove forgets a socket. The kernel does when its descriptor is closed.
+func (p *poller) remove(s *socket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sockets, s.token)
+}
+
+func (p *poller) find(token uint64) *socket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sockets[token]
+}
+
+// run hands events to the sockets until stop.
+func (p *poller) run() {
+	defer close(p.stopped)
+	events := make([]unix.EpollEvent, eventsPerWait)
+	readBuffer := make([]byte, readSize)
+	for {
+		n, err := unix.EpollWait(p.epoll, events, -1)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			time.Sleep(waitRetryDelay)
+			continue
 		}
-	})
-	poller.OnWrittenSize(func(socket *nbio.Conn, _ []byte, n int) {
-		if c, ok := socket.Session().(*Conn); ok {
-			c.bytesWritten(n)
+		for i := range events[:n] {
+			token := tokenOf(&events[i])
+			if token == wakeUpToken {
+				p.closeDescriptors()
+				return
+			}
+			if s := p.find(token); s != nil {
+				s.handle(events[i].Events, readBuffer)
+			}
 		}
-	})
-	poller.OnClose(func(socket *nbio.Conn, err error) {
-		if c, ok := socket.Session().(*Conn); ok {
-			c.disconnected.Store(true)
-			l.Post(func() { c.finish(err) })
+	}
+}
+
+// stop ends the poller and waits for it, for no longer than the timeout.
+func (p *poller) stop(timeout time.Duration) {
+	const increment = "\x01\x00\x00\x00\x00\x00\x00\x00"
+	for {
+		if _, err := unix.Write(p.wakeUp, []byte(increment)); !errors.Is(err, unix.EINTR) {
+			break
 		}
-	})
-	return poller
+	}
+	select {
+	case <-p.stopped:
+	case <-time.After(timeout):
+	}
+}
+
+func (p *poller) closeDescriptors() {
+	_ = unix.Close(p.wakeUp)
+	_ = unix.Close(p.epoll)
 }
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -2,40 +2,63 @@
 
 import (
 	"errors"
-	"syscall"
+	"net"
+
+	"golang.org/x/sys/unix"
 )
 
 // read takes what the socket has until the buffer is full. It runs on the poller's
-// goroutine when data arrives, and on the loop's when there is room again.
+// goroutine when data arrives, and on the loop's before a connection is closed as idle.
 func (c *Conn) read(chunk []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	received := false
-	for c.loadState() != connLingering {
+	if c.readAvailable(chunk) && !c.deliveryPosted {
+		c.deliveryPosted = true
+		c.loop.Post(c.deliver)
+	}
+}
+
+// readAvailable does so and reports whether the handler is to be called. The caller holds mu.
+func (c *Conn) readAvailable(chunk []byte) (received bool) {
+	for {
+		if c.loadState() == connLingering {
+			c.socket.waitFor(unix.EPOLLRDHUP)
+			return received
+		}
 		if c.in.Len() >= c.bufferLimit() {
-			c.readPaused = true
-			break
+			c.pauseReading()
+			return received
 		}
-		n, err := c.socket.Read(chunk)
-		if n > 0 {
+		n, err := c.socket.read(chunk)
+		switch {
+		case n > 0:
 			delivery, more := c.take(chunk[:n])
 			received = received || delivery
 			if !more {
-				break
+				return received
 			}
-			continue
-		}
-		if errors.Is(err, syscall.EINTR) {
-			continue
-		}
-		if err != nil && !errors.Is(err, syscall.EAGAIN) {
-			_ = c.socket.CloseWithError(err)
+			if n == len(chunk) {
+				continue // there may be more; what stays unread raises another event
+			}
+			return received
+		case errors.Is(err, unix.EAGAIN), errors.Is(err, net.ErrClosed):
+			return received
+		default: // the end of the stream, or an error
+			c.socket.close(err)
+			return received
 		}
-		break // at the end of the stream the poller closes
 	}
-	if received && !c.deliveryPosted {
-		c.deliveryPosted = true
-		c.loop.Post(c.deliver)
+}
+
+// pauseReading stops the poller's events until there is room in the buffer. The end of a
+// client whose read-ahead is limited is still noticed; elsewhere what was sent before the
+// end comes first. The caller holds mu.
+func (c *Conn) pauseReading() {
+	c.readPaused = true
+	if c.readAheadLimited.Load() {
+		c.socket.waitFor(unix.EPOLLRDHUP)
+	} else {
+		c.socket.waitFor(0)
 	}
 }
 
@@ -54,7 +77,11 @@
 // a peer that sends more than a buffer of them goes on at full speed. The caller holds mu.
 func (c *Conn) discard(n int) bool {
 	c.discardedOnRead += n
-	return c.discardedOnRead <= c.readLimit
+	if c.discardedOnRead > c.readLimit {
+		c.socket.waitFor(unix.EPOLLRDHUP)
+		return false
+	}
+	return true
 }
 
 // buffer keeps what was read for the handler. It reports false where that closed the
@@ -69,7 +96,7 @@
 		return true
 	}
 	c.releaseBuffer() // at once: other connections need the memory
-	_ = c.socket.CloseWithError(errBufferBudgetExceeded)
+	c.socket.close(errBufferBudgetExceeded)
 	return false
 }
 
@@ -105,12 +132,9 @@
 	case connClosed:
 	}
 	c.loop.bufferedBytes.Add(int64(c.in.Len() - before))
-	resume := c.readPaused && c.in.Len() < c.bufferLimit()
-	if resume {
+	if c.readPaused && c.in.Len() < c.bufferLimit() {
 		c.readPaused = false
+		c.socket.waitFor(unix.EPOLLIN)
 	}
 	c.mu.Unlock()
-	if resume {
-		c.read(c.loop.readBuffer)
-	}
 }
--- /dev/null
+++ b/internal/eventloop/socket.go
@@ -0,0 +1,240 @@
+package eventloop
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+var (
+	// errWriteQueueFull closes a connection whose peer reads too slowly.
+	errWriteQueueFull = errors.New("too many bytes wait to be sent")
+	// errNoDescriptor means that a connection of another kind than TCP was converted.
+	errNoDescriptor = errors.New("the connection has no descriptor")
+)
+
+// system holds the system calls that a socket makes, so that a test can make them fail.
+type system struct {
+	read  func(descriptor int, p []byte) (int, error)
+	write func(descriptor int, p []byte) (int, error)
+}
+
+// kernel makes the system calls themselves.
+var kernel = system{read: unix.Read, write: unix.Write}
+
+// socketEvents is notified of a socket's events, on the poller's goroutine or on that of
+// the call which caused them.
+type socketEvents interface {
+	// read takes what has arrived; see Conn.read.
+	read(chunk []byte)
+	// bytesWritten reports that n bytes of the queue were sent.
+	bytesWritten(n int)
+	// ended reports, once, that the socket is closed.
+	ended(err error)
+}
+
+// socket is one connected, non-blocking TCP socket. Its methods may be called from any
+// goroutine.
+type socket struct {
+	descriptor int
+	system     system
+	poller     *poller
+	token      uint64       // set by poller.add
+	owner      socketEvents // set before poller.add
+
+	mu       sync.Mutex
+	closed   bool   // guarded by mu, as are those below
+	queue    []byte // what waits to be sent
+	sent     int    // bytes at the start of queue that have been sent
+	interest uint32 // the events that the poller waits for
+}
+
+// convert makes a TCP connection a socket, for which it takes a second descriptor for a
+// moment. The connection is closed where that succeeds.
+func convert(conn net.Conn) (*socket, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, errNoDescriptor
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("descriptor of the connection: %w", err)
+	}
+	descriptor := -1
+	controlErr := raw.Control(func(fd uintptr) { descriptor, err = unix.Dup(int(fd)) })
+	if err = errors.Join(controlErr, err); err != nil {
+		return nil, fmt.Errorf("dup: %w", err)
+	}
+	unix.CloseOnExec(descriptor)
+	_ = conn.Close()
+	return &socket{descriptor: descriptor, system: kernel, interest: unix.EPOLLIN}, nil
+}
+
+// handle handles an event of the poller.
+func (s *socket) handle(events uint32, readBuffer []byte) {
+	if events&unix.EPOLLOUT != 0 {
+		s.flush()
+	}
+	switch {
+	case events&unix.EPOLLIN != 0:
+		s.owner.read(readBuffer)
+	case events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0:
+		s.close(s.pendingError())
+	}
+}
+
+// pendingError returns the error that the kernel holds for the socket, or nil.
+func (s *socket) pendingError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	code, err := unix.GetsockoptInt(s.descriptor, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err != nil || code == 0 {
+		return nil
+	}
+	return syscall.Errno(code)
+}
+
+// read reads once. Its error is EAGAIN where nothing has arrived; at the end of the stream
+// it returns 0 without an error.
+func (s *socket) read(p []byte) (n int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, err = s.system.read(s.descriptor, p)
+		if !errors.Is(err, unix.EINTR) {
+			return max(n, 0), err
+		}
+	}
+}
+
+// write sends data, or queues what the socket does not take at once. After an error the
+// socket is closed, and the data was not sent completely.
+func (s *socket) write(data []byte) error {
+	err := s.tryWrite(data)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		s.close(err)
+	}
+	return err
+}
+
+func (s *socket) tryWrite(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.closed:
+		return net.ErrClosed
+	case len(s.queue)-s.sent+len(data) > maxPendingWrite:
+		return errWriteQueueFull
+	}
+	if len(s.queue) == 0 {
+		n, err := s.send(data)
+		if err != nil || n == len(data) {
+			return err
+		}
+		data = data[n:]
+	}
+	s.queue = append(s.queue, data...)
+	s.setInterest(s.interest | unix.EPOLLOUT)
+	return nil
+}
+
+// flush sends what is queued.
+func (s *socket) flush() {
+	if err := s.tryFlush(); err != nil {
+		s.close(err)
+	}
+}
+
+func (s *socket) tryFlush() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.queue) == 0 {
+		return nil
+	}
+	n, err := s.send(s.queue[s.sent:])
+	if err != nil {
+		return err
+	}
+	if s.sent += n; s.sent == len(s.queue) {
+		s.queue, s.sent = nil, 0
+		s.setInterest(s.interest &^ unix.EPOLLOUT)
+	}
+	return nil
+}
+
+// send writes until the socket takes no more, whatever a single call takes. The caller
+// holds mu.
+func (s *socket) send(data []byte) (sent int, err error) {
+	for sent < len(data) {
+		n, err := s.system.write(s.descriptor, data[sent:])
+		switch {
+		case n > 0:
+			sent += n
+			s.owner.bytesWritten(n)
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return sent, nil
+		case err != nil:
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+// waitFor sets which of EPOLLIN and EPOLLRDHUP the poller waits for.
+func (s *socket) waitFor(events uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.setInterest(events | s.interest&unix.EPOLLOUT)
+	}
+}
+
+// setInterest sets what the poller waits for. The caller holds mu.
+func (s *socket) setInterest(events uint32) {
+	if events == s.interest {
+		return
+	}
+	s.interest = events
+	// Fails only for a descriptor that the poller doesn't have, as after its end.
+	_ = s.poller.control(unix.EPOLL_CTL_MOD, s.descriptor, s.token, events)
+}
+
+// shutdownWrite ends the sending direction.
+func (s *socket) shutdownWrite() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return net.ErrClosed
+	}
+	return unix.Shutdown(s.descriptor, unix.SHUT_WR)
+}
+
+// close closes the socket at once and drops what is queued. The first call counts.
+func (s *socket) close(err error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	s.queue = nil
+	if s.poller != nil {
+		s.poller.remove(s)
+	}
+	_ = unix.Close(s.descriptor)
+	s.mu.Unlock()
+	if s.owner != nil {
+		s.owner.ended(err)
+	}
+}
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -1,7 +1,7 @@
 package eventloop
 
 // Write sends data, or queues what the socket does not take at once. It returns false
-// where the connection is closing or has ended; nothing of data was sent then, and
+// where the connection is closing or has ended; data was not sent completely then, and
 // OnClosed reports the reason.
 func (c *Conn) Write(data []byte) bool {
 	if c.loadState() != connOpen {
@@ -11,8 +11,7 @@
 		return true
 	}
 	c.pendingWrite.Add(int64(len(data)))
-	_, err := c.socket.Write(data)
-	return err == nil
+	return c.socket.write(data) == nil
 }
 
 // PendingWrite returns the number of bytes that wait to be sent.
@@ -27,7 +26,7 @@
 	}
 }
 
-// bytesWritten counts what nbio has sent, on whichever goroutine it did so.
+// bytesWritten counts what was sent, on whichever goroutine that was.
 func (c *Conn) bytesWritten(n int) {
 	if c.pendingWrite.Add(-int64(n)) == 0 && c.flushAwaited.Load() {
 		c.loop.Post(c.flushed)
--- a/internal/frontend/httpserver/disconnect_test.go
+++ b/internal/frontend/httpserver/disconnect_test.go
@@ -37,7 +37,7 @@
 	if err := json.Unmarshal(raw, &site); err != nil {
 		t.Fatal(err)
 	}
-	loop, err := eventloop.New(256)
+	loop, err := eventloop.New()
 	if err != nil {
 		t.Fatal(err)
 	}
