Add failing tests of restarts reported by a stepped wall clock

Seen: back by 20 s, 40 s and an hour the whole burst of 400 goes to the cold engine, back by 5 s more than without a step; ahead, the warm-up outlasts its time.

--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -126,3 +126,69 @@
 		t.Errorf("%d sent within a window to an engine nearly warm, %d to one just started", later, even)
 	}
 }
+
+// burst is more requests than a warming engine's budget holds.
+const burst = 400
+
+// restartWith restarts a warm engine whose wall clock has been stepped, so that the start which
+// the endpoint list reports is wrong by that step. It returns how many requests of a burst are
+// sent to the engine before the restart, right after it, and when the warm-up is over.
+func restartWith(t *testing.T, step time.Duration) (before, atStart, afterwards int) {
+	t.Helper()
+	s := settings()
+	s.Replicas = 1
+	engine := readyEngine("stepped", "a", 1)
+	engine.StartedAt, engine.StartKnown = 2*time.Hour, true
+	h := newHarness(t, s)
+	h.advance(2 * time.Hour).handle(EndpointsChanged{Mode: UpdateFull, Engines: []Engine{engine}})
+	h.runFor(30 * time.Second)
+	before = h.sendAll(burst)
+	engine.StartedAt = h.now + step
+	h.handle(EndpointsChanged{Mode: UpdateDelta, Engines: []Engine{engine}})
+	atStart = h.sendAll(burst)
+	h.runFor(s.Rules.WarmupTime)
+	return before, atStart, h.sendAll(burst)
+}
+
+// TestWarmupDoesNotFollowASteppedClock: the warm-up is a span of real time from the start on,
+// whatever the engine's wall clock says.
+func TestWarmupDoesNotFollowASteppedClock(t *testing.T) {
+	_, want, _ := restartWith(t, 0)
+	for _, step := range []time.Duration{
+		-5 * time.Second, -20 * time.Second, -40 * time.Second, -time.Hour, 5 * time.Second, time.Hour,
+	} {
+		before, atStart, afterwards := restartWith(t, step)
+		if atStart == 0 || atStart > want {
+			t.Errorf("stepped by %v: %d requests sent right after the start, %d without a step", step, atStart, want)
+		}
+		if before != burst || afterwards != burst {
+			t.Errorf("stepped by %v: %d of %d requests sent before the restart and %d when the warm-up was over", step, before, burst, afterwards)
+		}
+	}
+}
+
+// A start that the balancer's own list holds as it begins, and that is ahead of its clock, is
+// taken for one right now.
+func TestWarmupOfAStartAheadInTheFirstList(t *testing.T) {
+	s := settings()
+	s.Replicas = 1
+	engine := readyEngine("stepped", "a", 1)
+	engine.StartedAt, engine.StartKnown = 3*time.Hour, true
+	h := newHarness(t, s, engine)
+	h.runFor(s.Rules.WarmupTime + time.Second)
+	if n := h.sendAll(burst); n != burst {
+		t.Errorf("sent %d of %d requests when the warm-up was over", n, burst)
+	}
+}
+
+// sendAll has so many requests arrive, each served at once, and returns how many were sent.
+func (h *harness) sendAll(count int) (sent int) {
+	first := uint64(1_000_000) + uint64(h.now)
+	for id := first; id < first+uint64(count); id++ {
+		if len(startedAttempts(h.arrive(id, "idempotent"))) > 0 {
+			sent++
+			h.endAttempt(id, 0, ResultServed)
+		}
+	}
+	return sent
+}
