Read to the end of a stream that has ended before its data is handed on

Cause: since the poller stops at a short read, a request and the client's close that arrived together were two events, and the request could be accepted before the close was seen. Change: the poller waits for EPOLLRDHUP with EPOLLIN, and reads on to the end where both are reported. TestDisconnectedClientsRequestsAreDropped covers it.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -7,19 +7,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// read takes what the socket has until the buffer is full. It runs on the poller's
-// goroutine when data arrives, and on the loop's before a connection is closed as idle.
-func (c *Conn) read(chunk []byte) {
+// read takes what the socket has until the buffer is full, on the poller's goroutine. Where
+// the stream has ended it reads to the end before the data is handed to the handler, so
+// that the handler does not act for a client that has left.
+func (c *Conn) read(chunk []byte, streamEnded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readAvailable(chunk) && !c.deliveryPosted {
+	if c.readAvailable(chunk, streamEnded) && !c.deliveryPosted {
 		c.deliveryPosted = true
 		c.loop.Post(c.deliver)
 	}
 }
 
 // readAvailable does so and reports whether the handler is to be called. The caller holds mu.
-func (c *Conn) readAvailable(chunk []byte) (received bool) {
+func (c *Conn) readAvailable(chunk []byte, streamEnded bool) (received bool) {
 	for {
 		if c.loadState() == connLingering {
 			c.socket.waitFor(unix.EPOLLRDHUP)
@@ -37,10 +38,9 @@
 			if !more {
 				return received
 			}
-			if n == len(chunk) {
-				continue // there may be more; what stays unread raises another event
+			if n < len(chunk) && !streamEnded {
+				return received // what may be left raises another event
 			}
-			return received
 		case errors.Is(err, unix.EAGAIN), errors.Is(err, net.ErrClosed):
 			return received
 		default: // the end of the stream, or an error
@@ -134,7 +134,7 @@
 	c.loop.bufferedBytes.Add(int64(c.in.Len() - before))
 	if c.readPaused && c.in.Len() < c.bufferLimit() {
 		c.readPaused = false
-		c.socket.waitFor(unix.EPOLLIN)
+		c.socket.waitFor(readEvents)
 	}
 	c.mu.Unlock()
 }
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -26,11 +26,16 @@
 // kernel makes the system calls themselves.
 var kernel = system{read: unix.Read, write: unix.Write}
 
+// readEvents are the events of a socket that is being read: bytes, and the end of the
+// stream as soon as it has arrived behind them.
+const readEvents = unix.EPOLLIN | unix.EPOLLRDHUP
+
 // socketEvents is notified of a socket's events, on the poller's goroutine or on that of
 // the call which caused them.
 type socketEvents interface {
-	// read takes what has arrived; see Conn.read.
-	read(chunk []byte)
+	// read takes what has arrived. Where the peer has ended the stream it reads up to
+	// the end, if it can; see Conn.read.
+	read(chunk []byte, streamEnded bool)
 	// bytesWritten reports that n bytes of the queue were sent.
 	bytesWritten(n int)
 	// ended reports, once, that the socket is closed.
@@ -71,7 +76,7 @@
 	}
 	unix.CloseOnExec(descriptor)
 	_ = conn.Close()
-	return &socket{descriptor: descriptor, system: kernel, interest: unix.EPOLLIN}, nil
+	return &socket{descriptor: descriptor, system: kernel, interest: readEvents}, nil
 }
 
 // handle handles an event of the poller.
@@ -81,7 +86,7 @@
 	}
 	switch {
 	case events&unix.EPOLLIN != 0:
-		s.owner.read(readBuffer)
+		s.owner.read(readBuffer, events&unix.EPOLLRDHUP != 0)
 	case events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0:
 		s.close(s.pendingError())
 	}
@@ -191,7 +196,7 @@
 	return sent, nil
 }
 
-// waitFor sets which of EPOLLIN and EPOLLRDHUP the poller waits for.
+// waitFor sets which of readEvents the poller waits for.
 func (s *socket) waitFor(events uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/eventloop/socket_test.go
+++ b/internal/eventloop/socket_test.go
@@ -131,7 +131,7 @@
 func TestSocketThatCannotBePolled(t *testing.T) {
 	l, r, _ := connectedPair(t)
 	eventlooptest.Do(l, func() {
-		s := &socket{descriptor: -1, system: kernel, interest: unix.EPOLLIN}
+		s := &socket{descriptor: -1, system: kernel, interest: readEvents}
 		_, err := l.adopt(s, readSize, func(*Conn) Handler {
 			t.Error("a handler was asked for")
 			return r
