--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -142,12 +142,12 @@
 	h := newHarness(t, s)
 	h.advance(2 * time.Hour).handle(EndpointsChanged{Mode: UpdateFull, Engines: []Engine{engine}})
 	h.runFor(30 * time.Second)
-	before = h.sendAll(burst)
+	before = h.sendBurst()
 	engine.StartedAt = h.now + step
 	h.handle(EndpointsChanged{Mode: UpdateDelta, Engines: []Engine{engine}})
-	atStart = h.sendAll(burst)
+	atStart = h.sendBurst()
 	h.runFor(s.Rules.WarmupTime)
-	return before, atStart, h.sendAll(burst)
+	return before, atStart, h.sendBurst()
 }
 
 // TestWarmupDoesNotFollowASteppedClock: the warm-up is a span of real time from the start on,
@@ -176,15 +176,15 @@
 	engine.StartedAt, engine.StartKnown = 3*time.Hour, true
 	h := newHarness(t, s, engine)
 	h.runFor(s.Rules.WarmupTime + time.Second)
-	if n := h.sendAll(burst); n != burst {
+	if n := h.sendBurst(); n != burst {
 		t.Errorf("sent %d of %d requests when the warm-up was over", n, burst)
 	}
 }
 
-// sendAll has so many requests arrive, each served at once, and returns how many were sent.
-func (h *harness) sendAll(count int) (sent int) {
+// sendBurst has a burst of requests arrive, each served at once, and returns how many were sent.
+func (h *harness) sendBurst() (sent int) {
 	first := uint64(1_000_000) + uint64(h.now)
-	for id := first; id < first+uint64(count); id++ {
+	for id := first; id < first+burst; id++ {
 		if len(startedAttempts(h.arrive(id, "idempotent"))) > 0 {
 			sent++
 			h.endAttempt(id, 0, ResultServed)
