--- a/cmd/flaxrelay/shutdown_test.go
+++ b/cmd/flaxrelay/shutdown_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -58,3 +60,43 @@
 		t.Error("still listening")
 	}
 }
+
+// A request whose last bytes come after the final answers of a graceful shutdown, just before
+// its end, is answered too.
+func TestGracefulShutdown_RequestThatCompletesAtItsEndIsAnswered(t *testing.T) {
+	engine := startEngine(t, func(net.Conn, string) {}) // it never answers
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeFile(t, path, strings.NewReplacer(exampleEngineAddress, engine, exampleListenAddress, tcptest.AnyLoopbackPort,
+		`"hard-limit-ms": 6000`, `"hard-limit-ms": 1000`, `"hard-limit-ms": 20000`, `"hard-limit-ms": 1000`).
+		Replace(readFile(t, exampleConfig)))
+	s := newServer(slog.New(slog.DiscardHandler))
+	if err := s.listenHTTP(path, ""); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.loop.Run()
+		close(ended)
+	}()
+	client := newHTTPClient(t, s.frontEnd.Addr(), 10*time.Second)
+	request := lookupRequest("9b1f03aa5c7e2d43")
+	half := len(request) / 2
+	if _, err := io.WriteString(client.conn, request[:half]); err != nil {
+		t.Fatal(err)
+	}
+	s.loop.Post(func() {
+		s.startShutdown()
+		const killAfter = time.Second + killGrace
+		s.loop.Timers.Schedule(s.loop.Now()+killAfter-finalAnswerLead+10*time.Millisecond, func() {
+			_, _ = io.WriteString(client.conn, request[half:]) // it may have its answer already
+		})
+	})
+	response, err := http.ReadResponse(client.responses, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %s", response.Status)
+	}
+	<-ended
+}
--- /dev/null
+++ b/internal/e2e/crossings_test.go
@@ -0,0 +1,61 @@
+package e2e
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"flaxrelay/internal/frontend/httpserver"
+)
+
+// timeLeftField matches the time that a request line gives its engine, in milliseconds.
+var timeLeftField = regexp.MustCompile(`,ms=([0-9]+)`)
+
+// Bytes of a later request, read while an earlier one is in flight, don't move the deadline of
+// the one between them: its time runs from its own last byte.
+func TestHTTP_LaterBytesDoNotMoveTheDeadlineOfAPipelinedRequest(t *testing.T) {
+	const laterBytesAfter = 280 * time.Millisecond
+	addr, seen := startLineEngine(t, noReply)
+	front := startHTTP(t, addr)
+	client := connectHTTP(t, front.addr)
+	first := withWait(queryRequest("lookup", ""), "300")
+	second := withID(withWait(queryRequest("lookup", ""), "1000"), numberedID(2))
+	client.send(first + second)
+	await(t, seen)
+	time.Sleep(laterBytesAfter)
+	client.send("P")
+	assertEqual(t, "first answer", client.receive(), busyResult)
+	line := await(t, seen)
+	for !strings.HasPrefix(line, "want ") { // the first one's cancellation
+		line = await(t, seen)
+	}
+	match := timeLeftField.FindStringSubmatch(line)
+	if match == nil {
+		t.Fatalf("no time left in %q", line)
+	}
+	// At least 300 of its 1000 ms were over, and the rules grant 150 ms of slack.
+	if left, err := strconv.Atoi(match[1]); err != nil || left > 850 {
+		t.Errorf("the engine was given %s ms, want 850 at most", match[1])
+	}
+}
+
+// A request that was read on a new connection just before that is to be closed for another
+// client is answered.
+func TestConnectionLimit_RequestReadBeforeTheEvictionIsAnswered(t *testing.T) {
+	addr, _ := startLineEngine(t, emptyReply)
+	front := newFrontEnd(t, nil)
+	front.httpOptions = httpserver.Options{MaxClients: 1}
+	front.serveHTTP(addr)
+	client := connectHTTP(t, front.addr)
+	front.awaitCount("http.connections", 1)
+	const pastMinSilentTime = 30 * time.Millisecond
+	time.Sleep(pastMinSilentTime)
+	front.onLoop(func() { // the new client is accepted on the next turn, and before the request is handed on
+		dial(t, front.addr)
+		time.Sleep(pastMinSilentTime)
+		front.deliver(client, queryRequest("lookup", ""))
+	})
+	assertEqual(t, "answer", client.receive(), busyResult)
+}
