Count a request's time from its own last byte

Seen: the engine of a pipelined request was given 986 ms where its client had 700 left, and the final answer came as late. Cause: newRequest (httpserver/request.go) took Conn.LastReadAt, which later bytes of the connection move while an earlier request is in flight. Ruled out: the timeout of the attempt and the ms field: both follow the deadline.

--- a/internal/eventloop/buffer.go
+++ b/internal/eventloop/buffer.go
@@ -1,5 +1,7 @@
 package eventloop
 
+import "time"
+
 // maxIdleBuffer is the capacity, in bytes, up to which an empty buffer keeps its memory.
 const maxIdleBuffer = 16 << 10
 
@@ -8,7 +10,9 @@
 // concurrent use.
 type Buffer struct {
 	data     []byte
-	consumed int // bytes at the start of data that have been consumed
+	consumed int       // bytes at the start of data that have been consumed
+	received int64     // bytes read so far
+	arrivals []arrival // of the bytes that have not been consumed, in their order
 }
 
 // Bytes returns what has not been consumed. It is valid until the next call.
@@ -20,6 +24,7 @@
 // Consume drops the first n bytes.
 func (b *Buffer) Consume(n int) {
 	b.consumed += n
+	defer b.forgetArrivals()
 	if b.consumed < len(b.data) {
 		return
 	}
@@ -29,12 +34,13 @@
 	}
 }
 
-// append adds received bytes. It moves the rest to the front of the memory where that
+// append adds bytes that were read at the given time. It moves the rest to the front of the memory where that
 // may save an allocation.
-func (b *Buffer) append(received []byte) {
+func (b *Buffer) append(received []byte, at time.Duration) {
 	if b.consumed > 0 && len(b.data)+len(received) > cap(b.data) {
 		rest := copy(b.data, b.data[b.consumed:])
 		b.data, b.consumed = b.data[:rest], 0
 	}
 	b.data = append(b.data, received...)
+	b.noteArrival(len(received), at)
 }
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 // Handler takes the events of one connection, on the loop's goroutine.
@@ -55,7 +54,6 @@
 	onFlushed func() // called once nothing is pending; may be nil
 
 	pendingWrite atomic.Int64 // bytes not yet sent: added by the loop, subtracted as they are sent
-	lastReadAt   atomic.Int64 // a Duration as of Loop.Now; written with mu held
 	disconnected atomic.Bool  // the socket is closed; finish follows
 
 	mu              sync.Mutex
@@ -122,6 +120,3 @@
 // Disconnected reports whether the connection has ended, which it does before OnClosed
 // is called. What was read until then is still handed to OnData.
 func (c *Conn) Disconnected() bool { return c.disconnected.Load() }
-
-// LastReadAt returns when the latest bytes were read, as of Loop.Now.
-func (c *Conn) LastReadAt() time.Duration { return time.Duration(c.lastReadAt.Load()) }
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -89,8 +89,7 @@
 // many peers that each stop in the middle of a long message would take all memory. The
 // caller holds mu.
 func (c *Conn) buffer(data []byte) bool {
-	c.in.append(data)
-	c.lastReadAt.Store(int64(c.loop.Now()))
+	c.in.append(data, c.loop.Now())
 	total := c.loop.bufferedBytes.Add(int64(len(data)))
 	if total <= c.loop.BufferBudget || c.in.Len() <= readSize {
 		return true
--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -72,7 +72,7 @@
 		if clientconn.PauseUntilFlushed(c.socket, maxPendingWrite) {
 			return
 		}
-		size, err := c.readRequest(in.Bytes())
+		size, err := c.readRequest(in)
 		if err != nil {
 			c.reject(err)
 			return
@@ -87,11 +87,13 @@
 
 // readRequest routes the first request of the input and returns its size, or 0 while it
 // is incomplete.
-func (c *connection) readRequest(input []byte) (size int, err *statusError) {
+func (c *connection) readRequest(in *eventloop.Buffer) (size int, err *statusError) {
+	input := in.Bytes()
 	request, size, err := parse(input)
 	if err != nil || size == 0 {
 		return 0, err
 	}
+	request.arrivedAt = in.ArrivedAt(size)
 	if size < len(input) && !canStartRequest(input[size:]) {
 		return 0, wrongContentLength()
 	}
--- a/internal/frontend/httpserver/parse.go
+++ b/internal/frontend/httpserver/parse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -42,6 +43,7 @@
 	header       map[string]string // known fields by name in lower case
 	body         []byte            // within the input
 	wantsClose   bool              // the client wants the connection closed after the response
+	arrivedAt    time.Duration     // when its last byte was read, as of Loop.Now
 }
 
 // parse reads one request and returns its size, which is 0 while it is incomplete.
--- a/internal/frontend/httpserver/request.go
+++ b/internal/frontend/httpserver/request.go
@@ -48,7 +48,7 @@
 		ID: id, Class: className, Statement: statement, ClientRetry: retry == "1", Client: c,
 		Tenant: request.header[fieldTenant], OrderKey: request.header[fieldOrderKey],
 		// From its last byte, not from its turn behind another request on the connection.
-		Deadline: c.socket.LastReadAt() + wait,
+		Deadline: request.arrivedAt + wait,
 	}
 	if err := setEstimates(r, request); err != nil {
 		return nil, err
