Guard sending and repeating at one place each, and count violations

Change: engine clients ask Dispatcher.PermitSend before each write; startAttempt checks every attempt against the earlier ones; overdue or double answers are looked for. Each violation counts invariants.violated.RULE and logs invariant.violated. At log level debug each step of a request is logged under its id; attempts.retried-after.STATUS tells why a retry came. After CompleteAll whatever is accepted is rejected.

--- a/cmd/flaxrelay/metrics.go
+++ b/cmd/flaxrelay/metrics.go
@@ -17,6 +17,7 @@
 // reportMetrics logs the counters that have changed since the last report, if any, and
 // schedules the next one.
 func (s *server) reportMetrics() {
+	s.dispatcher.CheckPending()
 	if changes := s.counters.Deltas(); len(changes) > 0 {
 		s.logger.Info("metrics.delta", changes...)
 	}
--- a/internal/engine/enginetest/exchange.go
+++ b/internal/engine/enginetest/exchange.go
@@ -75,6 +75,7 @@
 
 	t           *testing.T
 	loop        *eventloop.Loop
+	dispatcher  *lifecycle.Dispatcher
 	listener    *net.TCPListener
 	connection  net.Conn // nil: none is open
 	printed     map[string]bool
@@ -96,6 +97,7 @@
 	env.Loop = x.loop
 	env.Dispatcher, err = lifecycle.NewDispatcher(env.Site.Policy, 1, fixedClock{}, timerqueue.New(), x.Counters, env.Log)
 	x.Check(err)
+	x.dispatcher = env.Dispatcher
 	env.Dispatcher.SetCostObserver(x)
 	x.Client = protocol.NewClient(env)
 	env.Dispatcher.SetEngineClient(x.Client)
@@ -120,7 +122,7 @@
 		Address: x.listener.Addr().String(),
 		Engine:  policy.Engine{ID: engineID, Zone: "a", Kind: "k", State: state},
 	}
-	x.Do(func() { x.Client.UpdateEndpoint(endpoint) })
+	x.Do(func() { x.dispatcher.UpdateEndpoints(policy.UpdateDelta, []lifecycle.Endpoint{endpoint}) })
 }
 
 // Start begins an attempt for the request. The function change, if there is one,
--- a/internal/engine/lineclient/stream.go
+++ b/internal/engine/lineclient/stream.go
@@ -21,11 +21,12 @@
 
 // writeRequest writes the attempt's request, or ends the attempt if that can't be done.
 func (s *stream) writeRequest() {
-	now := s.conn.client.shared.Dispatcher.Now()
-	if s.attempt.DedupWindowClosed(now) {
+	dispatcher := s.conn.client.shared.Dispatcher
+	if !dispatcher.PermitSend(s.attempt) {
 		s.conn.finish(s, lifecycle.StatusNotSent)
 		return
 	}
+	now := dispatcher.Now()
 	s.written = s.conn.Write(executeCommand(s.attempt, now))
 	if !s.written {
 		s.conn.StopAccepting()
--- a/internal/engine/pgclient/query.go
+++ b/internal/engine/pgclient/query.go
@@ -10,7 +10,7 @@
 func (c *connection) writeQuery() {
 	attempt := c.exchange.attempt
 	statement, ok := attempt.Request.Statement.(*pgproto.Statement)
-	if !ok || attempt.DedupWindowClosed(c.client.shared.Dispatcher.Now()) {
+	if !ok || !c.client.shared.Dispatcher.PermitSend(attempt) {
 		c.finish(lifecycle.StatusNotSent, lifecycle.AttemptReport{})
 		return
 	}
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,27 @@
+package invariant
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"flaxrelay/internal/metrics"
+)
+
+// A violation is counted under its rule and logged with its attributes; a rule that holds is
+// neither.
+func TestCheck(t *testing.T) {
+	var out bytes.Buffer
+	counters := metrics.New()
+	checker := New(counters, slog.New(slog.NewTextHandler(&out, nil)))
+	if !checker.Check(true, SendReady) || checker.Check(false, SendReady, "engine", "e1") {
+		t.Error("Check does not return whether the rule holds")
+	}
+	if n := counters.Get("invariants.violated.send-ready"); n != 1 {
+		t.Errorf("%d violations counted", n)
+	}
+	if got := out.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, "msg=invariant.violated rule=send-ready engine=e1") {
+		t.Errorf("log: %q", got)
+	}
+}
--- a/internal/lifecycle/actions.go
+++ b/internal/lifecycle/actions.go
@@ -33,6 +33,9 @@
 		}
 	case policy.Reject:
 		d.counters.Increment("rejections." + action.Reason.String())
+		if d.tracing {
+			d.trace("request.rejected", d.requests[action.RequestID], "reason", action.Reason.String(), "retry_after", action.RetryAfter)
+		}
 		d.respond(action.RequestID, Response{Verdict: VerdictRejected, RetryAfter: action.RetryAfter})
 	case policy.Fail:
 		d.respond(action.RequestID, Response{Verdict: VerdictFailed})
@@ -67,8 +70,14 @@
 	d.counters.Increment("attempts.started." + r.Class)
 	if a.index > 0 {
 		d.counters.Increment("attempts.retried." + r.Class)
+		d.counters.Increment("attempts.retried-after." + r.attempts[a.index-1].endStatus.String())
+	}
+	if d.tracing {
+		d.trace("attempt.started", r, "attempt", a.index, "engine", a.Engine, "timeout", a.Timeout)
 	}
-	if r.completed() { // the balancer has not been notified yet that the client disconnected
+	// Where the request is completed the balancer has not been notified yet that the client
+	// disconnected.
+	if r.completed() || !d.permitStart(a) {
 		d.EndAttempt(a, StatusNotSent, AttemptReport{})
 		return
 	}
--- a/internal/lifecycle/attempt.go
+++ b/internal/lifecycle/attempt.go
@@ -20,6 +20,7 @@
 
 	index        int // in Request.attempts
 	state        attemptState
+	endStatus    AttemptStatus // once it has ended
 	sendDeadline time.Duration // see DedupWindowClosed; 0: none
 	timeoutTimer *timerqueue.Timer
 }
@@ -61,7 +62,10 @@
 	}
 	r := a.Request
 	r.inFlight--
-	a.state = stateAfter(status)
+	a.state, a.endStatus = stateAfter(status), status
+	if d.tracing {
+		d.trace("attempt.ended", r, "attempt", a.index, "engine", a.Engine, "status", status.String(), "elapsed", d.clock.Now()-a.StartedAt)
+	}
 	a.timeoutTimer.Stop()
 	a.ClientData = nil
 	d.countEnd(a, status)
--- a/internal/lifecycle/dispatcher.go
+++ b/internal/lifecycle/dispatcher.go
@@ -5,9 +5,11 @@
 package lifecycle
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
+	"flaxrelay/internal/invariant"
 	"flaxrelay/internal/metrics"
 	"flaxrelay/internal/timerqueue"
 	"flaxrelay/policy"
@@ -25,21 +27,26 @@
 // with its balancer, its requests and their attempts. Clients, engine clients and
 // observers may call its methods while it calls them.
 type Dispatcher struct {
-	balancer     *policy.Balancer
-	clock        Clock
-	timers       *timerqueue.Queue
-	engineClient EngineClient
-	costObserver CostObserver // may be nil
-	counters     *metrics.Counters
-	logger       *slog.Logger
-	tickInterval time.Duration
-	warmupTime   time.Duration // for this long after its start an engine counts as warming up
-	classes      map[string]policy.Class
-	endpoints    map[string]Endpoint // by engine ID; without removed engines
+	balancer      *policy.Balancer
+	clock         Clock
+	timers        *timerqueue.Queue
+	engineClient  EngineClient
+	costObserver  CostObserver // may be nil
+	counters      *metrics.Counters
+	logger        *slog.Logger
+	tickInterval  time.Duration
+	warmupTime    time.Duration // for this long after its start an engine counts as warming up
+	limits        policy.Limits
+	responseSlack time.Duration // how late a final response may be
+	invariants    *invariant.Checker
+	tracing       bool // the steps of requests are logged
+	classes       map[string]policy.Class
+	endpoints     map[string]Endpoint // by engine ID; without removed engines
 
 	lastPolicyID uint64
 	requests     map[uint64]*Request // by policy ID, until they are released
 	pending      int                 // requests in requestPending
+	finishing    bool                // CompleteAll was called: whatever is accepted is rejected
 
 	handling   bool // handleEvent is on the stack
 	events     []policy.Event
@@ -57,16 +64,20 @@
 		return nil, err
 	}
 	d := &Dispatcher{
-		balancer:     balancer,
-		clock:        clock,
-		timers:       timers,
-		counters:     counters,
-		logger:       logger,
-		tickInterval: settings.TickInterval,
-		warmupTime:   settings.Rules.WarmupTime,
-		classes:      map[string]policy.Class{},
-		endpoints:    map[string]Endpoint{},
-		requests:     map[uint64]*Request{},
+		balancer:      balancer,
+		clock:         clock,
+		timers:        timers,
+		counters:      counters,
+		logger:        logger,
+		tickInterval:  settings.TickInterval,
+		warmupTime:    settings.Rules.WarmupTime,
+		limits:        settings.Limits,
+		responseSlack: settings.Rules.ResponseSlack,
+		invariants:    invariant.New(counters, logger),
+		tracing:       logger.Enabled(context.Background(), slog.LevelDebug),
+		classes:       map[string]policy.Class{},
+		endpoints:     map[string]Endpoint{},
+		requests:      map[uint64]*Request{},
 	}
 	for _, class := range settings.Classes {
 		d.classes[class.Name] = class
--- /dev/null
+++ b/internal/lifecycle/guard_test.go
@@ -0,0 +1,82 @@
+package lifecycle_test
+
+import (
+	"testing"
+	"time"
+
+	"flaxrelay/internal/lifecycle"
+	"flaxrelay/policy"
+)
+
+// assertViolations checks how often a rule was violated so far.
+func (f *fixture) assertViolations(rule string, want int64) {
+	f.t.Helper()
+	if got := f.counters.Get("invariants.violated." + rule); got != want {
+		f.t.Errorf("%s: %d violations, want %d", rule, got, want)
+	}
+}
+
+// The guard of sending permits what the rules permit, and counts what an engine client should
+// not even have asked.
+func TestPermitSend(t *testing.T) {
+	f := newFixture(t)
+	request := f.accept(readClass)
+	attempt := f.attempt(0)
+	if !f.PermitSend(attempt) {
+		t.Error("an attempt in order is withheld")
+	}
+	f.UpdateEndpoints(policy.UpdateDelta, []lifecycle.Endpoint{endpoint(attempt.Engine, policy.EngineDraining)})
+	if f.PermitSend(attempt) {
+		t.Error("sent to an engine that drains")
+	}
+	f.assertViolations("send-ready", 1)
+	f.ClientDisconnected(request)
+	if f.PermitSend(attempt) {
+		t.Error("sent although the client has left")
+	}
+	f.assertViolations("send-pending", 1)
+}
+
+// An attempt whose time is over is withheld. That is no violation: its timer is due.
+func TestPermitSend_WithholdsWhatIsLate(t *testing.T) {
+	f := newFixture(t)
+	f.accept(readClass)
+	f.now += requestDeadline
+	if f.PermitSend(f.attempt(0)) {
+		t.Error("sent past its deadline")
+	}
+	f.assertViolations("send-pending", 0)
+	if n := f.counters.Get("attempts.withheld.late"); n != 1 {
+		t.Errorf("%d attempts withheld, want 1", n)
+	}
+}
+
+// A request that is overdue without a response is a violation, once it is looked for; a response
+// that comes then is another.
+func TestCheckPending_FindsOverdueRequests(t *testing.T) {
+	f := newFixture(t)
+	f.accept(readClass)
+	f.CheckPending()
+	f.assertViolations("answer-in-time", 0)
+	f.now += requestDeadline + time.Second
+	f.CheckPending()
+	f.assertViolations("answer-in-time", 1)
+	f.end(0, lifecycle.StatusServed)
+	f.assertViolations("answer-in-time", 2)
+	f.CheckPending()
+	f.assertViolations("answer-in-time", 2)
+	f.assertViolations("answer-once", 0)
+}
+
+// Once a graceful shutdown has given all final responses, what is accepted is rejected at once.
+func TestAccept_AfterCompleteAllIsRejected(t *testing.T) {
+	f := newFixture(t)
+	f.CompleteAll()
+	f.accept(writeClass)
+	if len(f.responses) != 1 || f.responses[0].Verdict != lifecycle.VerdictRejected || len(f.started) != 0 {
+		t.Errorf("responses %+v, %d attempts", f.responses, len(f.started))
+	}
+	if f.Pending() != 0 {
+		t.Error("the request is still pending")
+	}
+}
--- a/internal/lifecycle/request.go
+++ b/internal/lifecycle/request.go
@@ -65,6 +65,14 @@
 	d.requests[r.policyID] = r
 	d.pending++
 	d.counters.Increment("requests.accepted." + r.Class)
+	if d.tracing {
+		d.trace("request.accepted", r, "class", r.Class, "time_left", r.Deadline-d.clock.Now())
+	}
+	if d.finishing {
+		d.counters.Increment("rejections.shutdown")
+		d.respond(r.policyID, Response{Verdict: VerdictRejected, RetryAfter: d.RetryAfter()})
+		return
+	}
 	d.handleEvent(policy.RequestArrived{
 		RequestID:         r.policyID,
 		Class:             r.Class,
@@ -85,6 +93,9 @@
 		return
 	}
 	d.counters.Increment("requests.disconnected." + r.Class)
+	if d.tracing {
+		d.trace("request.disconnected", r)
+	}
 	d.markCompleted(r)
 	d.abandonRemaining(r)
 }
--- a/internal/lifecycle/response.go
+++ b/internal/lifecycle/response.go
@@ -48,6 +48,10 @@
 	if response.DeadlinePassed {
 		d.counters.Increment("requests.completed-late." + r.Class)
 	}
+	d.checkAnswer(r)
+	if d.tracing {
+		d.trace("request.completed", r, "verdict", response.Verdict.String(), "attempts", len(r.attempts))
+	}
 	d.markCompleted(r)
 	r.Client.Respond(r, response)
 	d.releaseIfIdle(r)
@@ -63,7 +67,9 @@
 // of a graceful shutdown, when clients would otherwise receive none: the balancer
 // is notified that the deadlines have passed, and decides which requests may be
 // retried and when.
+// What is accepted from here on is rejected at once.
 func (d *Dispatcher) CompleteAll() {
+	d.finishing = true
 	for policyID, r := range d.requests {
 		if r.state == requestPending {
 			d.handleEvent(policy.DeadlineTimer(policyID))
