Close a client's connection only if nothing has arrived on it

Seen: a request read on a new connection in the turn in which it was evicted got no answer (TestConnectionLimit_RequestReadBeforeTheEvictionIsAnswered). Cause: closeNow (httpserver) closed whatever idle() or evictable() had found, and what was read between, or lay in the socket, was discarded; eviction of a connection without a valid request did not even look. Ruled out: the read timer; the client's own close. Change: closeUnused is the one way to close without a response. It reads what the socket holds and closes under the buffer's lock; what has arrived is handed on, or refused with Retry-After where the place is needed. Connections that wait for their last response are not aborted while it is still queued. Each end counts http.closed.REASON.

--- a/internal/eventloop/close.go
+++ b/internal/eventloop/close.go
@@ -20,6 +20,12 @@
 		return
 	}
 	c.setState(connDraining)
+	c.drain()
+}
+
+// drain sends what is pending and then shuts the write side. The state is connDraining, or
+// the connection has ended.
+func (c *Conn) drain() {
 	c.Redeliver() // drops what was read, and resumes reading where the buffer was full
 	if c.pendingWrite.Load() == 0 {
 		c.halfClose()
@@ -52,3 +58,24 @@
 	}
 	c.loop.Timers.Schedule(c.loop.Now()+lingerTime, c.Abort)
 }
+
+// CloseIfIdle ends the connection as Close does, unless bytes of its peer wait: those read, and
+// those that the socket holds, which are read now. It reports whether the connection is ending;
+// if not, OnData follows. It must not be called from OnData.
+func (c *Conn) CloseIfIdle() bool {
+	c.mu.Lock()
+	received := c.loadState() == connOpen && c.readAvailable(c.loop.readBuffer, false)
+	if received && !c.deliveryPosted {
+		c.deliveryPosted = true
+		c.loop.Post(c.deliver)
+	}
+	idle := c.in.Len() == 0
+	if idle && c.loadState() == connOpen {
+		c.setState(connDraining) // under mu: what is read from here on is discarded
+	}
+	c.mu.Unlock()
+	if idle {
+		c.drain()
+	}
+	return idle
+}
--- a/internal/eventloop/close_test.go
+++ b/internal/eventloop/close_test.go
@@ -104,3 +104,29 @@
 		})
 	}
 }
+
+// A connection is closed as idle only if nothing has arrived on it, not even bytes that the
+// poller has not read: these are handed on.
+func TestCloseIfIdle(t *testing.T) {
+	l, r, peer := connectedPair(t)
+	eventlooptest.Do(l, func() {
+		r.conn.socket.waitFor(0) // the poller does not read
+		if _, err := io.WriteString(peer, "a call"); err != nil {
+			t.Error(err)
+		}
+		if r.conn.CloseIfIdle() { // loopback has carried it by the end of the write
+			t.Error("closed over bytes that had arrived")
+		}
+	})
+	eventlooptest.Do(l, func() {
+		if len(r.data) != 1 || r.data[0] != "a call" {
+			t.Errorf("OnData got %q", r.data)
+		}
+		if !r.conn.CloseIfIdle() {
+			t.Error("an idle connection was not closed")
+		}
+	})
+	if _, err := io.ReadAll(peer); err != nil {
+		t.Errorf("the peer saw %v, want the end of the stream", err)
+	}
+}
--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -42,6 +42,7 @@
 	// validRequestSeen marks a client that has made a valid request: eviction prefers others.
 	validRequestSeen   bool
 	closeAfterResponse bool
+	closeReason        closeReason // why this side closes the connection; "": it doesn't
 }
 
 // awaitsRequest reports whether the next request may be read.
@@ -55,12 +56,6 @@
 	return c.state == stateReady && c.socket.UnreadBytes() == 0
 }
 
-// closeNow closes the connection from this side once what was written has been sent.
-func (c *connection) closeNow() {
-	c.state = stateClosing
-	c.socket.Close()
-}
-
 // OnData reads requests until one waits for its response.
 func (c *connection) OnData(_ *eventloop.Conn, in *eventloop.Buffer) {
 	for c.awaitsRequest() {
@@ -134,15 +129,15 @@
 		return
 	}
 	c.server.counters.Increment("http.read-timeouts")
-	if c.socket.UnreadBytes() == 0 {
-		c.closeNow()
+	if c.closeUnused(closeReadTimeout) {
 		return
 	}
 	c.reject(&statusError{http.StatusRequestTimeout, "the call was not whole in time"})
 }
 
 // OnClosed abandons the request of a client that has disconnected.
-func (c *connection) OnClosed(_ *eventloop.Conn, _ error) {
+func (c *connection) OnClosed(_ *eventloop.Conn, err error) {
+	c.countClose(err)
 	c.readTimer.Stop()
 	delete(c.server.connections, c)
 	c.abandonRequest()
@@ -179,7 +174,7 @@
 		rows, _ := response.Result.(lineclient.Rows)
 		c.writeRows(request, rows)
 	case lifecycle.VerdictRejected:
-		c.write(http.StatusServiceUnavailable, response.RetryAfter, []byte(`{"fault":"Busy"}`))
+		c.write(http.StatusServiceUnavailable, response.RetryAfter, []byte(busyBody))
 	default:
 		c.write(http.StatusInternalServerError, 0, []byte(`{"fault":"Failed"}`))
 	}
--- a/internal/frontend/httpserver/eviction.go
+++ b/internal/frontend/httpserver/eviction.go
@@ -20,9 +20,8 @@
 func (s *Server) closeIdle() {
 	now := s.loop.Now()
 	for c := range s.connections {
-		if c.idle() && now-c.lastActive > maxIdleTime {
+		if c.idle() && now-c.lastActive > maxIdleTime && c.closeUnused(closeIdleTimeout) {
 			s.counters.Increment("http.idle-closed")
-			c.closeNow()
 		}
 	}
 	s.loop.Timers.Schedule(now+idleCheckInterval, s.closeIdle)
@@ -43,19 +42,32 @@
 			s.retryEviction()
 			return
 		}
-		s.counters.Increment("http.evicted")
-		victim.closeNow()
+		victim.evict()
 	}
 }
 
+// evict closes the connection in favour of others. A client whose first request has arrived, or
+// a part of it, is refused instead; one that was served before keeps its connection then.
+func (c *connection) evict() {
+	if !c.closeUnused(closeEvicted) {
+		if c.validRequestSeen {
+			return
+		}
+		c.refuse(closeEvicted)
+	}
+	c.server.counters.Increment("http.evicted")
+}
+
 // findVictim counts the open connections and returns the one to evict first, or nil if
 // none may be evicted yet. Connections that only wait for their client to read the last
-// response are aborted meanwhile.
+// response are aborted meanwhile, once it has been sent.
 func (s *Server) findVictim() (open int, victim *connection) {
 	now := s.loop.Now()
 	for c := range s.connections {
 		if c.state == stateClosing {
-			c.socket.Abort()
+			if c.socket.PendingWrite() == 0 {
+				c.socket.Abort()
+			}
 			continue
 		}
 		open++
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -38,7 +38,7 @@
 // without pause has to connect for each.
 func (c *connection) reject(err *statusError) {
 	c.server.counters.Increment("http.bad-requests")
-	c.closeAfterResponse = true
+	c.closeAfterResponse, c.closeReason = true, closeInvalidRequest
 	c.write(err.status, 0, encodeError(err.message))
 }
 
@@ -56,6 +56,9 @@
 		return
 	}
 	c.state = stateClosing
+	if c.closeReason == "" {
+		c.closeReason = closeBehindResponse
+	}
 	if status >= 400 && status < 500 {
 		c.socket.CloseAfterLinger()
 	} else {
@@ -123,6 +126,14 @@
 	return append(b, ']')
 }
 
+// refuse answers what has arrived of a request by a rejection and closes the connection.
+// Nothing of it was forwarded.
+func (c *connection) refuse(reason closeReason) {
+	c.closeAfterResponse, c.closeReason = true, reason
+	c.state = stateReady // not paging: the response is the last
+	c.write(http.StatusServiceUnavailable, c.server.dispatcher.RetryAfter(), []byte(busyBody))
+}
+
 func encodeError(message string) []byte {
 	b := appendString([]byte(`{"fault":`), []byte(message))
 	return append(b, '}')
--- a/internal/frontend/httpserver/server.go
+++ b/internal/frontend/httpserver/server.go
@@ -102,7 +102,17 @@
 	s.draining = true
 	for c := range s.connections {
 		if c.idle() {
-			c.closeNow()
+			c.closeUnused(closeShutdown)
+		}
+	}
+}
+
+// Finish ends a graceful shutdown: a request that has partly arrived is refused, since nothing
+// can be served any more.
+func (s *Server) Finish() {
+	for c := range s.connections {
+		if c.awaitsRequest() && !c.closeUnused(closeShutdown) {
+			c.refuse(closeShutdown)
 		}
 	}
 }
