Answer what arrives after the final answers of a shutdown

Seen: a request that completed 10 ms after the final answers was forwarded and cut off (TestGracefulShutdown_RequestThatCompletesAtItsEndIsAnswered). Cause: CompleteAll (lifecycle) ends what is pending at that moment; the loop runs on for 100 ms and took further requests. Change: with the final answers, partial requests are refused and idle connections closed (Server.Finish); whatever is accepted later is rejected at once.

--- a/cmd/flaxrelay/server.go
+++ b/cmd/flaxrelay/server.go
@@ -30,6 +30,7 @@
 	Addr() string
 	CloseListener()
 	Drain()
+	Finish()
 	Idle() bool
 }
 
--- a/cmd/flaxrelay/shutdown.go
+++ b/cmd/flaxrelay/shutdown.go
@@ -48,7 +48,10 @@
 	}
 	s.loop.Timers.Schedule(startedAt+acceptPeriod, s.frontEnd.CloseListener)
 	s.loop.Timers.Schedule(progress.drainAt, s.frontEnd.Drain)
-	s.loop.Timers.Schedule(progress.completeAt, s.dispatcher.CompleteAll)
+	s.loop.Timers.Schedule(progress.completeAt, func() {
+		s.dispatcher.CompleteAll()
+		s.frontEnd.Finish()
+	})
 	progress.poll()
 }
 
--- a/internal/frontend/pgserver/server.go
+++ b/internal/frontend/pgserver/server.go
@@ -110,6 +110,10 @@
 	}
 }
 
+// Finish ends a graceful shutdown. All responses have been given, so that Drain closes what
+// is left.
+func (s *Server) Finish() { s.Drain() }
+
 // Idle reports whether no client is left.
 func (s *Server) Idle() bool { return len(s.connections) == 0 }
 
