--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,38 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"flaxrelay/internal/lab/harness"
+)
+
+const repositoryRoot = "../../.."
+
+func TestMain(m *testing.M) {
+	if RunEngineProcess() {
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A short run with overlapping troubles breaks no rule.
+func TestPlay_BreaksNoRule(t *testing.T) {
+	program, err := harness.Build(context.Background(), repositoryRoot, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := Play(Options{
+		Program: program, Self: os.Args[0], Folder: t.TempDir(), Seed: 1, Duration: 6 * time.Second,
+		FrontEnds: 4, Engines: 8, Clients: 16,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	if len(result.Violations) > 0 || result.Outcomes[string(outcomeServed)] == 0 {
+		t.Errorf("rules were broken; logs were in %s", result.Folder)
+	}
+}
