--- a/cmd/flaxrelay/reload_test.go
+++ b/cmd/flaxrelay/reload_test.go
@@ -4,10 +4,12 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"flaxrelay/internal/tcptest"
 )
@@ -108,3 +110,33 @@
 	p.awaitLog("consul=" + otherClosedLoopbackPort)
 	p.shutDown("count reload.failed 1")
 }
+
+// A SIGHUP whose file can't be read for a moment, as without a free descriptor, is carried out
+// as soon as it can be: no further signal comes for it.
+func TestReloadOutlastsAFileThatCannotBeRead(t *testing.T) {
+	if serveInChild(t) {
+		return
+	}
+	firstBus, firstSubscriptions := startEventBus(t, 7)
+	secondBus, secondSubscriptions := startEventBus(t, 8)
+	configWithBus := func(bus string) string {
+		return strings.Replace(readFile(t, exampleConfig), `"`+exampleListenAddress+`"`, fmt.Sprintf(`%q, "bus": %q`, tcptest.AnyLoopbackPort, bus), 1)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeFile(t, path, configWithBus(firstBus))
+	p := startProcess(t, configVariable, path)
+	p.awaitLog("server.listening")
+	<-firstSubscriptions
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	p.awaitLog("reload.failed")
+	writeFile(t, path, configWithBus(secondBus))
+	select {
+	case <-secondSubscriptions:
+	case <-time.After(2 * time.Second):
+		t.Error("the reload was given up")
+	}
+	p.shutDown("count reload.completed 1")
+}
--- a/cmd/flaxrelay/syscalls_test.go
+++ b/cmd/flaxrelay/syscalls_test.go
@@ -93,6 +93,8 @@
 		"interrupted writes": {InterruptWrite: 0.2},
 		"short reads":        {ShortRead: 0.2},
 		"interrupted reads":  {InterruptRead: 0.2, InterruptWait: 0.2},
+		"failing accepts":    {FailAccept: 0.3},
+		"failing connects":   {FailSocket: 0.3, FailConnect: 0.3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, address := startFaulty(t, startEngine(t, answerWithoutRows), faults)
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 )
 
@@ -13,7 +12,7 @@
 func (l *Loop) Dial(addr string, timeout time.Duration, readLimit int, h Handler, done func(*Conn, error)) (cancel func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	go func() {
-		s, err := connect(ctx, addr)
+		s, err := l.connect(ctx, addr)
 		cancel()
 		l.Post(func() {
 			if err != nil {
@@ -27,9 +26,8 @@
 }
 
 // connect dials and makes the connection a socket.
-func connect(ctx context.Context, addr string) (*socket, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+func (l *Loop) connect(ctx context.Context, addr string) (*socket, error) {
+	conn, err := l.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/eventloop/listen_test.go
@@ -0,0 +1,61 @@
+package eventloop
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"flaxrelay/internal/eventloop/eventlooptest"
+)
+
+// A connection that the machine has accepted before the listener is closed is served, even if
+// it had to wait for another to end: its client may have sent a request by then.
+func TestListenerCloseKeepsWhatTheMachineHasAccepted(t *testing.T) {
+	l, _ := startLoop(t)
+	accepted := make(chan *recorder, 2)
+	listener, err := l.Listen("127.0.0.1:0", readSize, 1, func(c *Conn) Handler {
+		r := &recorder{conn: c, closed: make(chan error, 1)}
+		accepted <- r
+		return r
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	connect := func() net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	connect()
+	<-accepted
+	waiting := connect()
+	if _, err := io.WriteString(waiting, "a call"); err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case r := <-accepted:
+		for deadline := time.Now().Add(patience); ; {
+			received := 0
+			eventlooptest.Do(l, func() { received = len(r.data) })
+			if received > 0 {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatal("its bytes were not handed on")
+			}
+		}
+	case <-time.After(time.Second):
+		t.Fatal("the waiting connection was dropped")
+	}
+	if conn, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+		_ = conn.Close()
+		t.Error("still listening")
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -4,7 +4,9 @@
 package eventloop
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,7 @@
 	startedAt     time.Time
 	startedAtUnix time.Duration // startedAt as the time since the Unix epoch
 	poller        *poller
+	dialer        func(ctx context.Context, network, addr string) (net.Conn, error)
 	bufferedBytes atomic.Int64
 
 	// The loop's goroutine owns these.
@@ -59,6 +62,7 @@
 		startedAtUnix: time.Duration(now.UnixNano()),
 		readBuffer:    make([]byte, readSize),
 		connections:   map[*Conn]struct{}{},
+		dialer:        new(net.Dialer).DialContext,
 		wakeUp:        make(chan struct{}, 1),
 	}
 	var err error
