Dial again where a connect fails on this machine

Seen: a connect that failed with ENOBUFS, ENFILE, EADDRNOTAVAIL, ENETUNREACH or EINTR ended its attempt at once; dialStatus (engine/dial.go) took it for connect-timeout, so the engine counted as restarted for its whole warm-up time. Ruled out: ECONNREFUSED and time-outs, which do tell of the engine. Change: such a dial is made again for 100 ms (2, 4, 8 ms ... apart); if it still fails, the attempt ends as local-failure, which says nothing of the engine.

--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -35,6 +35,8 @@
 		return lifecycle.StatusConnectionRefused
 	case eventloop.IsDescriptorExhausted(err):
 		return lifecycle.StatusNoDescriptor
+	case eventloop.IsLocalFailure(err):
+		return lifecycle.StatusLocalFailure
 	}
 	return lifecycle.StatusConnectTimeout
 }
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -25,8 +25,32 @@
 	return cancel
 }
 
-// connect dials and makes the connection a socket.
+const (
+	// dialRetryTime is how long a dial is tried again that fails on this machine. It is short
+	// beside the time that requests have.
+	dialRetryTime = 100 * time.Millisecond
+	// dialRetryDelay is the pause before the first of these attempts; it doubles.
+	dialRetryDelay = 2 * time.Millisecond
+)
+
+// connect dials and makes the connection a socket. What fails for want of something on this
+// machine, and says nothing of the peer, is tried again for a while.
 func (l *Loop) connect(ctx context.Context, addr string) (*socket, error) {
+	giveUpAt := time.Now().Add(dialRetryTime)
+	for delay := dialRetryDelay; ; delay *= 2 {
+		s, err := l.connectOnce(ctx, addr)
+		if err == nil || !IsLocalFailure(err) || time.Now().Add(delay).After(giveUpAt) {
+			return s, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(delay):
+		}
+	}
+}
+
+func (l *Loop) connectOnce(ctx context.Context, addr string) (*socket, error) {
 	conn, err := l.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/lifecycle/status.go
+++ b/internal/lifecycle/status.go
@@ -19,6 +19,7 @@
 	StatusConnectionRefused               // the engine refused the connection
 	StatusConnectTimeout                  // no connection in time
 	StatusNoDescriptor                    // no file descriptor was free for a connection
+	StatusLocalFailure                    // a connection failed on this machine
 	StatusUnknownEngine                   // the endpoint list has no address of the engine
 	StatusConnectionReset                 // the connection broke
 	StatusProtocolError                   // the engine's answer was malformed
@@ -41,6 +42,7 @@
 	StatusConnectionRefused: "connection-refused",
 	StatusConnectTimeout:    "connect-timeout",
 	StatusNoDescriptor:      "no-descriptor",
+	StatusLocalFailure:      "local-failure",
 	StatusUnknownEngine:     "unknown-engine",
 	StatusConnectionReset:   "connection-reset",
 	StatusProtocolError:     "protocol-error",
@@ -79,7 +81,7 @@
 		return policy.ResultCancelled
 	case StatusDeadlinePassed, StatusNotSent, StatusStatementRejected:
 		return policy.ResultNotSent
-	case StatusNoDescriptor: // the fault is on this side, not the engine's
+	case StatusNoDescriptor, StatusLocalFailure: // the fault is on this side, not the engine's
 		return policy.ResultNotSent
 	}
 	return policy.ResultUnknown
--- a/internal/lifecycle/status_test.go
+++ b/internal/lifecycle/status_test.go
@@ -24,6 +24,7 @@
 		{StatusConnectionRefused, "connection-refused", policy.ResultConnectFailed},
 		{StatusConnectTimeout, "connect-timeout", policy.ResultConnectFailed},
 		{StatusNoDescriptor, "no-descriptor", policy.ResultNotSent},
+		{StatusLocalFailure, "local-failure", policy.ResultNotSent},
 		{StatusUnknownEngine, "unknown-engine", policy.ResultConnectFailed},
 		{StatusConnectionReset, "connection-reset", policy.ResultConnectionLost},
 		{StatusProtocolError, "protocol-error", policy.ResultUnknown},
