Serve the backlog of a listener that is closed

Seen: a connection that waited for its accept, with a request sent, was reset when the listener closed (TestListenerCloseKeepsWhatTheMachineHasAccepted): the machine had accepted it, so the request is lost. Cause: Listen (eventloop/listen.go) returned the plain listener; accepts lag behind at the limit of connections, for 20 ms after one that failed, and while a descriptor is awaited. Ruled out: the drain, which comes 0.3 s later and waits for what has been accepted. Change: Close accepts until the backlog is empty, without regard to the limit, then closes. A connection that comes up between the last accept and the close is still reset: no call closes the gap.

--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -24,7 +24,8 @@
 
 // Listen accepts connections at the address until the returned listener is closed. The
 // handler of each is what newHandler returns, on the loop's goroutine; its read buffer
-// holds up to readLimit bytes. While maxConnections are open (0: no limit) the next ones
+// holds up to readLimit bytes. Closing the listener hands over what still waits to be
+// accepted, beyond maxConnections if need be. While maxConnections are open (0: no limit) the next ones
 // wait unaccepted, which keeps clients from taking the descriptors that connections to
 // engines need.
 func (l *Loop) Listen(addr string, readLimit, maxConnections int, newHandler func(*Conn) Handler) (net.Listener, error) {
@@ -37,7 +38,7 @@
 		a.slots = make(chan struct{}, maxConnections)
 	}
 	go a.run()
-	return listener, nil
+	return &drainingListener{Listener: listener, acceptor: a}, nil
 }
 
 func (a *acceptor) run() {
