Read a reloaded file again that could not be read

Seen: SIGHUP while the file could not be opened left the front end on the old event bus for good (TestReloadOutlastsAFileThatCannotBeRead). Cause: reloadFile (cmd/flaxrelay/reload.go) gave up at any error, also one that passes, as a full descriptor table. Ruled out: a file with faults: it still changes nothing and is not read again.

--- a/cmd/flaxrelay/server.go
+++ b/cmd/flaxrelay/server.go
@@ -10,6 +10,7 @@
 	"flaxrelay/internal/lifecycle"
 	"flaxrelay/internal/metrics"
 	"flaxrelay/internal/stmtstats"
+	"flaxrelay/internal/timerqueue"
 	"flaxrelay/policy"
 )
 
@@ -23,6 +24,8 @@
 	logger     *slog.Logger
 	shapes     *stmtstats.Service // query shape statistics; nil where they are off
 	reload     func() error       // applies the changed file; nil where nothing in it may change
+	// reloadRetry reads the file again that could not be read; nil: none could not.
+	reloadRetry *timerqueue.Timer
 }
 
 // frontEnd is what the composition and a graceful shutdown need of a protocol's server.
