Write the steps of requests in full at level debug

Cause: the limit of 5 lines a second for each event left most of them out, so a log could not answer why an attempt ended. Change: records under level info are not limited; they are off unless asked for.

--- a/internal/logging/ratelimit.go
+++ b/internal/logging/ratelimit.go
@@ -26,7 +26,7 @@
 // rateLimitHandler limits how often one event, identified by its message, is
 // written, which prevents a peer from filling the log. The next record of the
 // event that is written carries the number of suppressed ones. Errors are always
-// written.
+// written, and so are the steps of requests at level debug, which are of use only in full.
 type rateLimitHandler struct {
 	slog.Handler
 	limiters *eventLimiters
@@ -39,7 +39,7 @@
 
 // Handle implements slog.Handler.
 func (h *rateLimitHandler) Handle(ctx context.Context, record slog.Record) error {
-	if record.Level >= slog.LevelError {
+	if record.Level >= slog.LevelError || record.Level < slog.LevelInfo {
 		return h.Handler.Handle(ctx, record)
 	}
 	allowed, suppressed := h.limiters.allow(record.Message, record.Time)
