--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -111,9 +111,9 @@
 			})
 		case words[0] == reportEnd && len(words) == 5:
 			workTime, _ := strconv.ParseInt(words[4], 10, 64)
-			e.run.history.end(process, id, words[3], at, time.Duration(workTime))
+			e.run.history.end(process, id, words[3], at, time.Duration(workTime), e.readLate(at))
 		case words[0] == reportCut:
-			e.run.history.end(process, id, "", at, 0)
+			e.run.history.end(process, id, "", at, 0, e.readLate(at))
 		}
 	}
 	e.run.history.endProcess(process, time.Now())
