--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := cmd.StdinPipe(); err != nil { // its end ends the process
+		return err
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/lab/soak/engineprocess.go
+++ b/internal/lab/soak/engineprocess.go
@@ -60,6 +60,10 @@
 		fmt.Fprintln(os.Stderr, "soak engine:", err)
 		os.Exit(1)
 	}
+	go func() { // the parent holds the other end for as long as it lives
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
 	e := &engineProcess{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
 	e.report(reportReady, "-")
 	for {
