Check at run time what one front end sends an engine that is warming up

Cause: the rule on slow start had a budget and no check of it. Decisions are unchanged: the golden file is. Test: TestCheckWarmupReportsAnOverload.

--- a/internal/lifecycle/actions.go
+++ b/internal/lifecycle/actions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"flaxrelay/internal/invariant"
 	"flaxrelay/policy"
 )
 
@@ -43,6 +44,8 @@
 		d.timers.Schedule(d.clock.Now()+action.After, func() {
 			d.handleEvent(policy.TimerFired{Token: action.Token})
 		})
+	case policy.ReportOverload:
+		d.invariants.Check(false, invariant.StartWarmup, "engine", action.Engine, "sent", action.Sent, "limit", action.Limit)
 	case policy.Log:
 		d.logger.Info("policy.message", "text", action.Message)
 	case policy.CheckHealth, policy.Subscribe:
--- a/internal/simprotocol/encode.go
+++ b/internal/simprotocol/encode.go
@@ -71,6 +71,8 @@
 		return beginLine(output, messageSetTimer, instanceID).milliseconds(a.After).unsigned(a.Token).end()
 	case policy.Subscribe:
 		return beginLine(output, messageSubscribe, instanceID).flag(true).end()
+	case policy.ReportOverload: // the simulator judges by its own count
+		return output
 	case policy.Log:
 		return beginLine(output, messageLog, instanceID).text(a.Message).end()
 	}
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Action is what the caller must do, in the order given: StartAttempt, SetResources, CancelAttempt,
-// CheckHealth, Reject, Fail, SetTimer, Subscribe or Log.
+// CheckHealth, Reject, Fail, SetTimer, Subscribe, Log or ReportOverload.
 type Action interface{ action() }
 
 // StartAttempt sends a request to an engine as its next attempt.
@@ -77,12 +77,21 @@
 // Log is a log message for operators.
 type Log struct{ Message string }
 
-func (StartAttempt) action()  {}
-func (SetResources) action()  {}
-func (CancelAttempt) action() {}
-func (CheckHealth) action()   {}
-func (Reject) action()        {}
-func (Fail) action()          {}
-func (SetTimer) action()      {}
-func (Subscribe) action()     {}
-func (Log) action()           {}
+// ReportOverload says that this balancer alone has sent a warming engine more than it bears, which its
+// budget rules out: a fault of this package. Nothing depends on it.
+type ReportOverload struct {
+	Engine string
+	Sent   float64 // requests of mean work within the overload window
+	Limit  float64
+}
+
+func (StartAttempt) action()   {}
+func (SetResources) action()   {}
+func (CancelAttempt) action()  {}
+func (CheckHealth) action()    {}
+func (Reject) action()         {}
+func (Fail) action()           {}
+func (SetTimer) action()       {}
+func (Subscribe) action()      {}
+func (Log) action()            {}
+func (ReportOverload) action() {}
--- a/policy/decisionfiles_test.go
+++ b/policy/decisionfiles_test.go
@@ -21,7 +21,7 @@
 var filesWithoutDecisions = []string{
 	"actions.go", "class.go", "decayingcounter.go", "doc.go", "engine.go", "events.go", "ewma.go", "handle.go",
 	"keyqueue.go", "loop.go", "prune.go", "rendezvous.go", "request.go", "retrywindow.go", "settings.go", "state.go",
-	"tokenbucket.go", "traffic.go", "units.go", "validate.go",
+	"tokenbucket.go", "traffic.go", "units.go", "validate.go", "warmupcheck.go",
 }
 
 // decisionFiles returns the files of this package that the deploy file lists under policy.
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -28,6 +28,7 @@
 	warmupEndsAt         time.Duration
 	warmupSeenAt         time.Duration // when this balancer learned of the start
 	budgetSpentUntil     time.Duration // this balancer's share of the warm-up budget is spent until then
+	warmupSent           []sentWork    // of the overload window; see checkWarmup
 	slotDraw             float64       // random slot for large requests during warm-up, 0 to 1
 	restartAssumed       bool          // it counts as warming up for a broken connection alone
 	previousWarmupEndsAt time.Duration // warmupEndsAt before that
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -89,6 +89,7 @@
 	b.reserve(a)
 	b.traffic.observeWeight(req.weight)
 	b.spendWarmupBudget(req, e)
+	b.checkWarmup(req, e)
 	b.setResources(a)
 	b.emit(StartAttempt{RequestID: req.id, Engine: e.id, Timeout: req.deadline - b.now})
 }
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -192,3 +192,39 @@
 	}
 	return sent
 }
+
+// What one balancer sends a warming engine is checked against what the engine bears from all: the
+// budget keeps to it, and a budget that did not would be reported.
+func TestCheckWarmupReportsAnOverload(t *testing.T) {
+	s := settings()
+	s.Replicas = 1
+	warming := readyEngine("warming", "a", 1)
+	warming.StartedAt, warming.StartKnown = time.Minute, true
+	h := newHarness(t, s)
+	h.advance(5 * time.Second).handle(EndpointsChanged{Mode: UpdateFull, Engines: []Engine{warming}})
+	reports := func(spend bool) (n int) {
+		for id := uint64(1); id <= 400; id++ {
+			if !spend {
+				h.balancer.enginesByID["warming"].budgetSpentUntil = 0 // as if nothing had been sent
+			}
+			for _, action := range h.arrive(id+uint64(h.now), "idempotent") {
+				switch action := action.(type) {
+				case ReportOverload:
+					n++
+					if action.Engine != "warming" || action.Sent <= action.Limit {
+						t.Errorf("reported %+v", action)
+					}
+				}
+			}
+			h.endAttempt(id+uint64(h.now), 0, ResultServed)
+		}
+		return n
+	}
+	if n := reports(true); n != 0 {
+		t.Errorf("%d overloads reported within the budget", n)
+	}
+	h.advance(3 * time.Second)
+	if n := reports(false); n == 0 {
+		t.Error("no overload reported without a budget")
+	}
+}
--- a/policy/traffic.go
+++ b/policy/traffic.go
@@ -10,6 +10,7 @@
 	reportedInFlight float64 // requests in flight that an engine reports, of all balancers
 	reports          float64 // load reports so far
 	meanWeight       float64 // threads of a request sent
+	meanWorkMs       float64 // expected work of a request sent
 }
 
 // endPeriod records the arrivals of a control period and the own requests per engine at its end.
