--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -208,12 +208,13 @@
 				h.balancer.enginesByID["warming"].budgetSpentUntil = 0 // as if nothing had been sent
 			}
 			for _, action := range h.arrive(id+uint64(h.now), "idempotent") {
-				switch action := action.(type) {
-				case ReportOverload:
-					n++
-					if action.Engine != "warming" || action.Sent <= action.Limit {
-						t.Errorf("reported %+v", action)
-					}
+				report, ok := action.(ReportOverload)
+				if !ok {
+					continue
+				}
+				n++
+				if report.Engine != "warming" || report.Sent <= report.Limit {
+					t.Errorf("reported %+v", report)
 				}
 			}
 			h.endAttempt(id+uint64(h.now), 0, ResultServed)
