--- a/internal/e2e/crossings_test.go
+++ b/internal/e2e/crossings_test.go
@@ -59,3 +59,33 @@
 	})
 	assertEqual(t, "answer", client.receive(), busyResult)
 }
+
+// The time of a request that waits in the kernel for its connection to be accepted runs from its
+// last byte too: accepts may fail for a while, and the place of an earlier client may be needed.
+func TestHTTP_TimeOfARequestCountsWhileItsConnectionWaitsForItsAccept(t *testing.T) {
+	const waited = 600 * time.Millisecond
+	addr, seen := startLineEngine(t, emptyReply)
+	front := newFrontEnd(t, nil)
+	front.httpOptions = httpserver.Options{MaxClients: 1}
+	front.serveHTTP(addr)
+	var holders []*httpClient
+	for range 1 + httpserver.SpareClients { // with requests in flight, so that none can be evicted
+		holders = append(holders, connectHTTP(t, front.addr))
+	}
+	_ = holders
+	front.awaitCount("http.connections", 1)
+	client := connectHTTP(t, front.addr)
+	client.send(withWait(queryRequest("lookup", ""), "1000"))
+	time.Sleep(waited)
+	for _, holder := range holders {
+		holder.close()
+	}
+	line := await(t, seen)
+	match := timeLeftField.FindStringSubmatch(line)
+	if match == nil {
+		t.Fatalf("no time left in %q", line)
+	}
+	if left, err := strconv.Atoi(match[1]); err != nil || left > 1000-int(waited.Milliseconds())+150 {
+		t.Errorf("the engine was given %s ms after a wait of %v, of 1000 ms in all", match[1], waited)
+	}
+}
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -30,3 +30,25 @@
 	front.assertCount("attempts.started.", 2)
 	front.assertCount("requests.disconnected.", 0)
 }
+
+// Requests that a client has sent at once are all answered in a graceful shutdown: the connection
+// closes behind the response to the last one.
+func TestDrain_PipelinedRequestsAreAllAnswered(t *testing.T) {
+	const want = `200 {"result":[["a","b","c"]]}`
+	addr, _ := startLineEngine(t, func(line string) string { return doneReply(line, "a\tb\tc\n") })
+	front := startHTTP(t, addr)
+	client := connectHTTP(t, front.addr)
+	client.roundTrip(bareHealthRequest)
+	front.onLoop(func() {
+		text := ""
+		for n := range 3 {
+			text += withID(queryRequest("lookup", ""), numberedID(n))
+		}
+		front.deliver(client, text)
+		front.httpServer.Drain()
+	})
+	for range 3 {
+		assertEqual(t, "answer", client.receive(), want)
+	}
+	client.assertClosed()
+}
