Count the time that a request waits in the kernel

Seen: a request whose connection waited 600 ms for its accept had 999 of its 1000 ms at the engine; its final answer would come 600 ms late. Cause: the deadline ran from the read (Conn.buffer); accepts fail for a while, wait for a place among the connections, or for a descriptor, and a full buffer is not read. Ruled out: the wait for the turn behind another request, which counts already. Change: the first read of a connection, and the first after a pause, asks the kernel how long ago the latest bytes came (TCP_INFO, tcpi_last_data_recv); without an answer nothing changes.

--- a/internal/e2e/crossings_test.go
+++ b/internal/e2e/crossings_test.go
@@ -64,16 +64,18 @@
 // last byte too: accepts may fail for a while, and the place of an earlier client may be needed.
 func TestHTTP_TimeOfARequestCountsWhileItsConnectionWaitsForItsAccept(t *testing.T) {
 	const waited = 600 * time.Millisecond
-	addr, seen := startLineEngine(t, emptyReply)
+	addr, seen := startLineEngine(t, noReply)
 	front := newFrontEnd(t, nil)
 	front.httpOptions = httpserver.Options{MaxClients: 1}
 	front.serveHTTP(addr)
+	const slots = 1 + httpserver.SpareClients
 	var holders []*httpClient
-	for range 1 + httpserver.SpareClients { // with requests in flight, so that none can be evicted
-		holders = append(holders, connectHTTP(t, front.addr))
+	for n := range slots { // with a request in flight, so that none is evicted
+		holder := connectHTTP(t, front.addr)
+		holder.send(withID(withWait(queryRequest("lookup", ""), longWait), numberedID(n)))
+		holders = append(holders, holder)
 	}
-	_ = holders
-	front.awaitCount("http.connections", 1)
+	front.awaitCount("http.connections", slots)
 	client := connectHTTP(t, front.addr)
 	client.send(withWait(queryRequest("lookup", ""), "1000"))
 	time.Sleep(waited)
@@ -81,6 +83,9 @@
 		holder.close()
 	}
 	line := await(t, seen)
+	for !strings.HasPrefix(line, "want "+requestID) {
+		line = await(t, seen)
+	}
 	match := timeLeftField.FindStringSubmatch(line)
 	if match == nil {
 		t.Fatalf("no time left in %q", line)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -60,6 +60,7 @@
 	in              Buffer // guarded by mu, as are those below
 	deliveryPosted  bool   // a call of deliver is in the loop's queue
 	readPaused      bool   // there may be more to read, and the buffer is full
+	readLate        bool   // the next bytes may have waited in the kernel for long
 	discardedOnRead int    // bytes received after Close
 }
 
@@ -67,7 +68,7 @@
 // connection has ended. After an error the socket is closed, and neither newHandler nor
 // onEnded is called.
 func (l *Loop) adopt(s *socket, readLimit int, newHandler func(*Conn) Handler, onEnded func()) (*Conn, error) {
-	c := &Conn{loop: l, socket: s, readLimit: readLimit, onEnded: onEnded}
+	c := &Conn{loop: l, socket: s, readLimit: readLimit, onEnded: onEnded, readLate: true}
 	s.owner, s.poller = c, l.poller
 	if err := l.poller.add(s); err != nil {
 		s.owner = nil
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -89,7 +90,7 @@
 // many peers that each stop in the middle of a long message would take all memory. The
 // caller holds mu.
 func (c *Conn) buffer(data []byte) bool {
-	c.in.append(data, c.loop.Now())
+	c.in.append(data, c.arrivalTime())
 	total := c.loop.bufferedBytes.Add(int64(len(data)))
 	if total <= c.loop.BufferBudget || c.in.Len() <= readSize {
 		return true
@@ -99,6 +100,18 @@
 	return false
 }
 
+// arrivalTime returns when the bytes that have just been read arrived, which is now unless
+// they may have waited: for the connection to be accepted, or for space in the buffer. The
+// caller holds mu.
+func (c *Conn) arrivalTime() time.Duration {
+	now := c.loop.Now()
+	if !c.readLate {
+		return now
+	}
+	c.readLate = false
+	return now - c.socket.lastDataAge()
+}
+
 // bufferLimit is how much the buffer may hold before reading pauses; the peer's own
 // writes then wait. It has to be enough for the largest message, and one read may pass
 // it.
@@ -132,7 +145,7 @@
 	}
 	c.loop.bufferedBytes.Add(int64(c.in.Len() - before))
 	if c.readPaused && c.in.Len() < c.bufferLimit() {
-		c.readPaused = false
+		c.readPaused, c.readLate = false, true
 		c.socket.waitFor(readEvents)
 	}
 	c.mu.Unlock()
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -122,6 +123,24 @@
 	}
 }
 
+// maxDataAge bounds lastDataAge: whatever waited longer has no time left in any case.
+const maxDataAge = time.Minute
+
+// lastDataAge returns how long ago the peer's latest bytes arrived; 0 where the kernel doesn't
+// tell.
+func (s *socket) lastDataAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0
+	}
+	info, err := unix.GetsockoptTCPInfo(s.descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(info.Last_data_recv)*time.Millisecond, maxDataAge)
+}
+
 // write sends data, or queues what the socket does not take at once. After an error the
 // socket is closed, and the data was not sent completely.
 func (s *socket) write(data []byte) error {
