Answer all pipelined requests in a graceful shutdown

Seen: of three requests that a client sent at once, only the first was answered once the shutdown drained (TestDrain_PipelinedRequestsAreAllAnswered). Cause: write (httpserver/response.go) closed behind the first response; Close discards what was read. Ruled out: idle connections, which are closed only if nothing has arrived. Change: a connection closes behind the response to the last request that has arrived.

--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -43,6 +43,9 @@
 	validRequestSeen   bool
 	closeAfterResponse bool
 	closeReason        closeReason // why this side closes the connection; "": it doesn't
+	// unread is what has arrived behind the request being read, during OnData alone.
+	unread  int
+	reading bool
 }
 
 // awaitsRequest reports whether the next request may be read.
@@ -50,6 +53,14 @@
 	return c.state == stateReady || c.state == statePaging
 }
 
+// hasUnread reports whether more has arrived behind the latest request.
+func (c *connection) hasUnread() bool {
+	if c.reading { // the buffer is locked
+		return c.unread > 0
+	}
+	return c.socket.UnreadBytes() > 0
+}
+
 // idle reports whether nothing is open on the connection: no request in flight, no
 // result that is fetched page by page, no part of a request.
 func (c *connection) idle() bool {
@@ -58,6 +69,8 @@
 
 // OnData reads requests until one waits for its response.
 func (c *connection) OnData(_ *eventloop.Conn, in *eventloop.Buffer) {
+	c.reading = true
+	defer func() { c.reading = false }()
 	for c.awaitsRequest() {
 		if c.socket.Disconnected() {
 			// The client may have left hundreds of requests behind: none is forwarded.
@@ -89,6 +102,7 @@
 		return 0, err
 	}
 	request.arrivedAt = in.ArrivedAt(size)
+	c.unread = len(input) - size
 	if size < len(input) && !canStartRequest(input[size:]) {
 		return 0, wrongContentLength()
 	}
