--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -29,7 +29,7 @@
 // wait unaccepted, which keeps clients from taking the descriptors that connections to
 // engines need.
 func (l *Loop) Listen(addr string, readLimit, maxConnections int, newHandler func(*Conn) Handler) (net.Listener, error) {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := l.listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/eventloop/listen_test.go
+++ b/internal/eventloop/listen_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"flaxrelay/internal/eventloop/eventlooptest"
 )
 
@@ -59,3 +61,24 @@
 		t.Error("still listening")
 	}
 }
+
+// Listening outlasts failures of this machine that pass: the program would have to be started
+// again for them.
+func TestListenOutlastsPassingFailuresOfThisMachine(t *testing.T) {
+	for _, failure := range []error{unix.ENOBUFS, unix.ENFILE, unix.EMFILE} {
+		l, _ := startLoop(t)
+		calls := 0
+		l.listen = func(network, addr string) (net.Listener, error) {
+			if calls++; calls <= 3 {
+				return nil, &net.OpError{Op: "listen", Err: failure}
+			}
+			return net.Listen(network, addr)
+		}
+		listener, err := l.Listen("127.0.0.1:0", readSize, 0, func(*Conn) Handler { return nil })
+		if err != nil {
+			t.Errorf("%v: got %v after %d calls", failure, err, calls)
+			continue
+		}
+		_ = listener.Close()
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -39,6 +39,7 @@
 	startedAtUnix time.Duration // startedAt as the time since the Unix epoch
 	poller        *poller
 	dialer        func(ctx context.Context, network, addr string) (net.Conn, error)
+	listen        func(network, addr string) (net.Listener, error)
 	bufferedBytes atomic.Int64
 
 	// The loop's goroutine owns these.
@@ -63,6 +64,7 @@
 		readBuffer:    make([]byte, readSize),
 		connections:   map[*Conn]struct{}{},
 		dialer:        new(net.Dialer).DialContext,
+		listen:        net.Listen,
 		wakeUp:        make(chan struct{}, 1),
 	}
 	var err error
--- /dev/null
+++ b/internal/stmtstats/snapshot_disk_test.go
@@ -0,0 +1,69 @@
+package stmtstats
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"flaxrelay/internal/eventloop"
+	"flaxrelay/internal/metrics"
+	"flaxrelay/policy"
+)
+
+// startService returns a service that continues from the snapshot.
+func startService(t *testing.T, path string) (*Service, *metrics.Counters) {
+	t.Helper()
+	loop, err := eventloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counters := metrics.New()
+	settings := Settings{MaxBytes: 256 << 10, SnapshotPath: path, SnapshotInterval: time.Hour}
+	service, err := NewService(settings, []policy.Class{{Name: "lookup"}}, loop, counters, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return service, counters
+}
+
+// Files of snapshots that a kill left half written are removed at the next start: nothing else
+// would ever remove them.
+func TestNewService_RemovesWhatAKillLeftHalfWritten(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "shapes")
+	leftover, other := path+".new-123", filepath.Join(dir, "other.new-123")
+	for _, name := range []string{leftover, other} {
+		if err := os.WriteFile(name, []byte("half"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	startService(t, path)
+	if _, err := os.Stat(leftover); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the file is still there: %v", err)
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Errorf("a file of another name is gone: %v", err)
+	}
+}
+
+// A snapshot that can't be read for a moment is not damaged: it stays under its name, and its
+// records are not lost.
+func TestNewService_KeepsASnapshotThatCannotBeRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "shapes")
+	if err := os.Mkdir(path, 0o700); err != nil { // reading a directory fails with EISDIR
+		t.Fatal(err)
+	}
+	_, counters := startService(t, path)
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("the snapshot was moved: %v", err)
+	}
+	if n := counters.Get("shapes.snapshot-unreadable"); n != 1 {
+		t.Errorf("%d unreadable snapshots counted, want 1", n)
+	}
+	if n := counters.Get("shapes.snapshot-unusable"); n != 0 {
+		t.Errorf("%d snapshots counted as damaged", n)
+	}
+}
