Listen again where that fails on this machine

Seen: one listen that failed with ENOBUFS, ENFILE or EMFILE ended the start with exit code 1. Cause: Loop.Listen passed the error on. Change: it is made again each 20 ms for 5 s; an address that is taken or not this machine's is still reported at once.

--- a/internal/e2e/retry_test.go
+++ b/internal/e2e/retry_test.go
@@ -111,7 +111,7 @@
 		"unknown": policy.ResultUnknown, "served": policy.ResultServed, "statement-rejected": policy.ResultNotSent, "result-too-large": policy.ResultServed, "engine-error": policy.ResultFailed,
 		"overloaded": policy.ResultOverloaded, "deadline-passed": policy.ResultNotSent, "pages-lost": policy.ResultFailed, "timeout": policy.ResultTimedOut,
 		"connection-refused": policy.ResultConnectFailed, "connect-timeout": policy.ResultConnectFailed, "no-descriptor": policy.ResultNotSent,
-		"local-failure": policy.ResultNotSent,
+		"local-failure":  policy.ResultNotSent,
 		"unknown-engine": policy.ResultConnectFailed, "connection-reset": policy.ResultConnectionLost, "protocol-error": policy.ResultUnknown,
 		"cancelled": policy.ResultCancelled, "not-sent": policy.ResultNotSent, "idle-closed": policy.ResultUnknown,
 	}
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -29,7 +30,7 @@
 // wait unaccepted, which keeps clients from taking the descriptors that connections to
 // engines need.
 func (l *Loop) Listen(addr string, readLimit, maxConnections int, newHandler func(*Conn) Handler) (net.Listener, error) {
-	listener, err := l.listen("tcp", addr)
+	listener, err := l.listenPatiently(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -41,6 +42,25 @@
 	return &drainingListener{Listener: listener, acceptor: a}, nil
 }
 
+const (
+	// listenRetryTime is how long a listen is tried again that fails on this machine. A front
+	// end has 30 s to be ready.
+	listenRetryTime = 5 * time.Second
+	// listenRetryDelay is the pause between two of these attempts.
+	listenRetryDelay = 20 * time.Millisecond
+)
+
+// listenPatiently listens, and tries again for a while where that fails for want of something
+// on this machine. It blocks meanwhile, as a start may.
+func (l *Loop) listenPatiently(addr string) (net.Listener, error) {
+	for giveUpAt := time.Now().Add(listenRetryTime); ; time.Sleep(listenRetryDelay) {
+		listener, err := l.listen("tcp", addr)
+		if err == nil || !IsLocalFailure(err) || errors.Is(err, syscall.EADDRNOTAVAIL) || time.Now().After(giveUpAt) {
+			return listener, err
+		}
+	}
+}
+
 func (a *acceptor) run() {
 	for {
 		a.acquireSlot()
