--- a/internal/stmtstats/snapshot_file.go
+++ b/internal/stmtstats/snapshot_file.go
@@ -33,9 +33,24 @@
 	return nil
 }
 
+// temporaryInfix stands between a snapshot's name and the random part of a temporary file's.
+const temporaryInfix = ".new-"
+
+// removeLeftovers removes the temporary files of processes that were killed while they wrote. It
+// is a best effort: one that stays only takes space. No other process writes this snapshot.
+func removeLeftovers(path string) {
+	leftovers, err := filepath.Glob(path + temporaryInfix + "*")
+	if err != nil {
+		return
+	}
+	for _, leftover := range leftovers {
+		_ = os.Remove(leftover)
+	}
+}
+
 // replaceFile atomically replaces the file with the contents.
 func replaceFile(path string, contents []byte) (err error) {
-	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+temporaryInfix+"*")
 	if err != nil {
 		return err
 	}
