--- a/internal/e2e/postgres_session_test.go
+++ b/internal/e2e/postgres_session_test.go
@@ -123,3 +123,22 @@
 	client.send(startupMessage(pgproto.ProtocolVersion+2, "user", "x"))
 	assertEqual(t, "startup", client.receiveUntilReady(), "v R S S S S S S S K Z")
 }
+
+// A client sends a statement and disconnects before it is read: nothing is accepted.
+func TestPostgres_DisconnectedClientsStatementIsDropped(t *testing.T) {
+	addr, _ := startPgEngine(t, noPgReply)
+	front := startPostgres(t, addr)
+	client, later := connectPostgres(t, front.addr), connectHTTP(t, front.addr)
+	front.awaitCount("postgres.connections", 2)
+	front.onLoop(func() {
+		client.send(query("SELECT 1"))
+		if err := client.conn.Close(); err != nil {
+			t.Error(err)
+		}
+		// The poller has read the statement and seen the end by the time that a later client's
+		// bytes have arrived.
+		front.deliver(later, string(startupMessage(pgproto.ProtocolVersion, "user", "x")))
+	})
+	front.onLoop(func() {})
+	front.assertCount("requests.accepted.", 0)
+}
