Accept no statement of a PostgreSQL client that has left

Cause: OnData (pgserver/connection.go) read on although the socket had ended; OnClosed is posted behind it. Change: as in the HTTP front end, what is left is dropped.

--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -72,6 +72,10 @@
 // OnData reads messages until one waits for its response.
 func (c *connection) OnData(_ *eventloop.Conn, in *eventloop.Buffer) {
 	for c.awaitsMessage() {
+		if c.socket.Disconnected() { // nothing is accepted of a client that has left
+			in.Consume(in.Len())
+			return
+		}
 		if clientconn.PauseUntilFlushed(c.socket, maxPendingWrite) {
 			break
 		}
