--- a/internal/eventloop/dial_test.go
+++ b/internal/eventloop/dial_test.go
@@ -12,8 +12,8 @@
 )
 
 // dialWith dials a listener through a dialer whose first calls fail with the error, and returns
-// the error of the dial and the number of calls.
-func dialWith(t *testing.T, failures int64, failure error) (err error, calls int64) {
+// the number of calls and the error of the dial.
+func dialWith(t *testing.T, failures int64, failure error) (calls int64, err error) {
 	t.Helper()
 	l, _ := startLoop(t)
 	listener, listenErr := net.Listen("tcp", "127.0.0.1:0")
@@ -30,14 +30,15 @@
 	}
 	done := make(chan error, 1)
 	l.Dial(listener.Addr().String(), time.Second, readSize, &recorder{closed: make(chan error, 1)}, func(_ *Conn, err error) { done <- err })
-	return <-done, made.Load()
+	err = <-done
+	return made.Load(), err
 }
 
 // A dial that fails for want of something on this machine is tried again within its timeout:
 // the peer is not at fault, and what is missing may be there in a moment.
 func TestDialOutlastsPassingFailuresOfThisMachine(t *testing.T) {
 	for _, failure := range []error{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.ENFILE, unix.EMFILE, unix.EINTR} {
-		if err, calls := dialWith(t, 3, failure); err != nil || calls != 4 {
+		if calls, err := dialWith(t, 3, failure); err != nil || calls != 4 {
 			t.Errorf("%v: got %v after %d calls", failure, err, calls)
 		}
 	}
@@ -47,13 +48,13 @@
 func TestDialReportsFailuresThatStay(t *testing.T) {
 	const always = 1 << 40
 	startedAt := time.Now()
-	if err, calls := dialWith(t, always, unix.ENOBUFS); !errors.Is(err, unix.ENOBUFS) || calls < 2 {
+	if calls, err := dialWith(t, always, unix.ENOBUFS); !errors.Is(err, unix.ENOBUFS) || calls < 2 {
 		t.Errorf("got %v after %d calls", err, calls)
 	}
 	if took := time.Since(startedAt); took > 500*time.Millisecond {
 		t.Errorf("reported after %v", took)
 	}
-	if err, calls := dialWith(t, always, unix.ECONNREFUSED); !IsConnectionRefused(err) || calls != 1 {
+	if calls, err := dialWith(t, always, unix.ECONNREFUSED); !IsConnectionRefused(err) || calls != 1 {
 		t.Errorf("got %v after %d calls", err, calls)
 	}
 }
--- a/internal/stmtstats/snapshot_disk_test.go
+++ b/internal/stmtstats/snapshot_disk_test.go
@@ -13,8 +13,8 @@
 	"flaxrelay/policy"
 )
 
-// startService returns a service that continues from the snapshot.
-func startService(t *testing.T, path string) (*Service, *metrics.Counters) {
+// startService starts a service that continues from the snapshot, and returns its counters.
+func startService(t *testing.T, path string) *metrics.Counters {
 	t.Helper()
 	loop, err := eventloop.New()
 	if err != nil {
@@ -22,11 +22,10 @@
 	}
 	counters := metrics.New()
 	settings := Settings{MaxBytes: 256 << 10, SnapshotPath: path, SnapshotInterval: time.Hour}
-	service, err := NewService(settings, []policy.Class{{Name: "lookup"}}, loop, counters, slog.New(slog.DiscardHandler))
-	if err != nil {
+	if _, err = NewService(settings, []policy.Class{{Name: "lookup"}}, loop, counters, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
-	return service, counters
+	return counters
 }
 
 // Files of snapshots that a kill left half written are removed at the next start: nothing else
@@ -56,7 +55,7 @@
 	if err := os.Mkdir(path, 0o700); err != nil { // reading a directory fails with EISDIR
 		t.Fatal(err)
 	}
-	_, counters := startService(t, path)
+	counters := startService(t, path)
 	if _, err := os.Stat(path); err != nil {
 		t.Errorf("the snapshot was moved: %v", err)
 	}
