--- a/cmd/flaxrelay/process_test.go
+++ b/cmd/flaxrelay/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"log/slog"
 	"os"
 	"os/exec"
@@ -46,6 +47,8 @@
 	t   *testing.T
 	cmd *exec.Cmd
 	log *bufio.Scanner
+
+	logPipe io.Closer // the reading end of the log
 }
 
 // startProcess runs the calling test, which must call serveInChild, in a process of its
@@ -63,7 +66,7 @@
 	}
 	watchdog := time.AfterFunc(processTimeout, func() { _ = p.cmd.Process.Kill() })
 	t.Cleanup(func() { watchdog.Stop() })
-	p.log = bufio.NewScanner(stderr)
+	p.log, p.logPipe = bufio.NewScanner(stderr), stderr
 	return p
 }
 
