Write the log on a goroutine of its own, and outlast its reader

Cause: logger and printCounters wrote to standard error on the event loop's goroutine; the Go runtime raises SIGPIPE for descriptors 1 and 2. Ruled out: the limit of 5 lines a second for each event: counters are not limited, and a stalled reader outlasts any limit. Change: AsyncWriter queues 256 KB of lines, drops what does not fit and counts log.dropped; the end of the program waits 0.5 s for it; SIGPIPE is ignored.

--- a/cmd/flaxrelay/metrics.go
+++ b/cmd/flaxrelay/metrics.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"os"
 	"time"
 )
 
@@ -18,16 +17,28 @@
 // schedules the next one.
 func (s *server) reportMetrics() {
 	s.dispatcher.CheckPending()
+	s.publishDropped()
 	if changes := s.counters.Deltas(); len(changes) > 0 {
 		s.logger.Info("metrics.delta", changes...)
 	}
 	s.scheduleMetricsReport()
 }
 
-// printCounters writes all counters to standard error.
+// publishDropped publishes how many lines of the log were lost.
+func (s *server) publishDropped() {
+	if s.output != nil {
+		s.counters.Set("log.dropped", s.output.Dropped())
+	}
+}
+
+// printCounters writes all counters to the log's output.
 func (s *server) printCounters() {
+	if s.output == nil {
+		return
+	}
+	s.publishDropped()
 	if s.shapes != nil {
 		s.shapes.PublishCounters()
 	}
-	s.counters.Print(os.Stderr)
+	s.counters.Print(s.output)
 }
--- a/cmd/flaxrelay/process_test.go
+++ b/cmd/flaxrelay/process_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"flaxrelay/internal/logging"
 )
 
 // Environment variables that tell a test binary started by startProcess what to serve.
@@ -36,7 +38,9 @@
 	if !inChild() {
 		return false
 	}
-	if err := serve(childFiles(), slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
+	output := logging.NewAsyncWriter(os.Stderr)
+	defer output.Flush(finalFlushTime)
+	if err := serve(childFiles(), slog.New(slog.NewTextHandler(output, nil)), output); err != nil {
 		t.Fatal(err)
 	}
 	return true
--- a/cmd/flaxrelay/serve.go
+++ b/cmd/flaxrelay/serve.go
@@ -5,6 +5,9 @@
 	"errors"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"flaxrelay/internal/config"
 	"flaxrelay/internal/logging"
@@ -20,12 +23,14 @@
 // Run serves until a graceful shutdown ends. It logs each fault that keeps the server
 // from starting.
 func (c *serveCommand) Run(global *cli) error {
-	logger, err := logging.New(os.Stderr, logging.Options{Format: global.LogFormat, Level: global.LogLevel})
+	output := logging.NewAsyncWriter(os.Stderr)
+	defer output.Flush(finalFlushTime)
+	logger, err := logging.New(os.Stderr, logging.Options{Format: global.LogFormat, Level: global.LogLevel, Writer: output})
 	if err != nil {
 		return err
 	}
 	files := serveFiles{config: c.Config, postgres: c.Postgres, shapes: c.Shapes}
-	if err := serve(files, logger); err != nil {
+	if err := serve(files, logger, output); err != nil {
 		for _, fault := range config.FieldErrorsOf(err) {
 			logger.Error("server.start-failed", "file", fault.File, "line", fault.Line, "field", fault.Field, "error", fault.Problem)
 		}
@@ -34,6 +39,9 @@
 	return nil
 }
 
+// finalFlushTime bounds how long the end of the program waits for its log to be written.
+const finalFlushTime = 500 * time.Millisecond
+
 // serveFiles are the paths of the files that say what to serve.
 type serveFiles struct {
 	config   string // configuration of the HTTP front end
@@ -43,13 +51,16 @@
 
 var errNothingToServe = errors.New("nothing to serve: set LB_CONFIG, --config or --postgres")
 
-// serve runs the front end that the files select until it has shut down.
-func serve(files serveFiles, logger *slog.Logger) error {
+// serve runs the front end that the files select until it has shut down. The logger writes to
+// the output, which also gets the counters.
+func serve(files serveFiles, logger *slog.Logger, output *logging.AsyncWriter) error {
 	// This comes first: until then, a signal ends the process at once.
 	received := subscribeSignals()
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader has ended
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := newServer(logger)
+	s.output = output
 	if err := s.listen(ctx, files); err != nil {
 		return err
 	}
--- a/cmd/flaxrelay/server.go
+++ b/cmd/flaxrelay/server.go
@@ -8,6 +8,7 @@
 	"flaxrelay/internal/config"
 	"flaxrelay/internal/eventloop"
 	"flaxrelay/internal/lifecycle"
+	"flaxrelay/internal/logging"
 	"flaxrelay/internal/metrics"
 	"flaxrelay/internal/stmtstats"
 	"flaxrelay/internal/timerqueue"
@@ -22,8 +23,9 @@
 	frontEnd   frontEnd // nil where the deploy file turns the front end off
 	counters   *metrics.Counters
 	logger     *slog.Logger
-	shapes     *stmtstats.Service // query shape statistics; nil where they are off
-	reload     func() error       // applies the changed file; nil where nothing in it may change
+	output     *logging.AsyncWriter // of the log and the counters; nil: none are printed
+	shapes     *stmtstats.Service   // query shape statistics; nil where they are off
+	reload     func() error         // applies the changed file; nil where nothing in it may change
 	// reloadRetry reads the file again that could not be read; nil: none could not.
 	reloadRetry *timerqueue.Timer
 }
--- /dev/null
+++ b/internal/logging/asyncwriter.go
@@ -0,0 +1,103 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// maxQueuedBytes bounds the lines that wait to be written.
+	maxQueuedBytes = 256 << 10
+	// flushPollInterval is how often Flush looks whether all is written.
+	flushPollInterval = time.Millisecond
+)
+
+// AsyncWriter writes lines on a goroutine of its own. Its Write never waits: while the output
+// takes nothing, as a pipe that nobody reads, lines are dropped and counted. It is safe for
+// concurrent use.
+type AsyncWriter struct {
+	out    io.Writer
+	wakeUp chan struct{} // holds a value while lines wait
+
+	mu          sync.Mutex
+	queue       [][]byte // guarded by mu, as are those below
+	queuedBytes int
+	writing     bool // a line has been taken off the queue and is not written yet
+	dropped     int64
+}
+
+// NewAsyncWriter returns a writer to the output. Its goroutine lasts as long as the process.
+func NewAsyncWriter(out io.Writer) *AsyncWriter {
+	w := &AsyncWriter{out: out, wakeUp: make(chan struct{}, 1)}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never fails: a log has no better place to say so.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if w.queuedBytes+len(line) > maxQueuedBytes {
+		w.dropped++
+	} else {
+		w.queue = append(w.queue, append([]byte(nil), line...))
+		w.queuedBytes += len(line)
+	}
+	w.mu.Unlock()
+	select {
+	case w.wakeUp <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped, or failed to be written, so far.
+func (w *AsyncWriter) Dropped() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropped
+}
+
+// Flush waits until all lines are written, for no longer than the timeout.
+func (w *AsyncWriter) Flush(timeout time.Duration) {
+	for deadline := time.Now().Add(timeout); !w.idle() && time.Now().Before(deadline); {
+		time.Sleep(flushPollInterval)
+	}
+}
+
+func (w *AsyncWriter) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) == 0 && !w.writing
+}
+
+func (w *AsyncWriter) run() {
+	for range w.wakeUp {
+		for line := w.next(); line != nil; line = w.next() {
+			if _, err := w.out.Write(line); err != nil {
+				w.countDropped()
+			}
+		}
+	}
+}
+
+// next takes the next line off the queue, or returns nil.
+func (w *AsyncWriter) next() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = len(w.queue) > 0
+	if !w.writing {
+		w.queue = nil
+		return nil
+	}
+	line := w.queue[0]
+	w.queue = w.queue[1:]
+	w.queuedBytes -= len(line)
+	return line
+}
+
+func (w *AsyncWriter) countDropped() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropped++
+}
--- /dev/null
+++ b/internal/logging/asyncwriter_test.go
@@ -0,0 +1,66 @@
+package logging
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// gate is an output that takes nothing while it is locked.
+type gate struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.out.Write(p)
+}
+
+// Lines come out whole and in order; while the output takes none, Write does not wait, the
+// queue stays bounded, and what does not fit is counted.
+func TestAsyncWriter_NeverWaits(t *testing.T) {
+	const lines = 20000
+	var output gate
+	writer := NewAsyncWriter(&output)
+	output.mu.Lock()
+	for n := range lines {
+		if _, err := fmt.Fprintf(writer, "line %06d of a log that nobody reads\n", n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writer.Flush(10 * time.Millisecond) // returns although nothing is written
+	output.mu.Unlock()
+	writer.Flush(10 * time.Second)
+	output.mu.Lock()
+	defer output.mu.Unlock()
+	written := strings.Count(output.out.String(), "\n")
+	if dropped := writer.Dropped(); dropped == 0 || int64(written)+dropped != lines {
+		t.Errorf("%d lines written and %d dropped of %d", written, dropped, lines)
+	}
+	if !strings.HasPrefix(output.out.String(), "line 000000 of a log that nobody reads\nline 000001 ") {
+		t.Errorf("the output begins with %.80q", output.out.String())
+	}
+}
+
+type brokenOutput struct{}
+
+func (brokenOutput) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// An output that fails costs lines and nothing else.
+func TestAsyncWriter_OutlastsAnOutputThatFails(t *testing.T) {
+	writer := NewAsyncWriter(brokenOutput{})
+	if _, err := io.WriteString(writer, "line\n"); err != nil {
+		t.Fatal(err)
+	}
+	writer.Flush(10 * time.Second)
+	if n := writer.Dropped(); n != 1 {
+		t.Errorf("%d lines counted as dropped, want 1", n)
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -26,6 +26,8 @@
 type Options struct {
 	Format string // auto, json or text; auto is text on a terminal and else JSON
 	Level  string // debug, info, warn or error
+	// Writer gets the lines in place of the file, which then only selects the format of auto.
+	Writer io.Writer
 }
 
 // FormatError reports a log format that does not exist.
@@ -42,15 +44,18 @@
 	if err := level.UnmarshalText([]byte(opts.Level)); err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	handler, err := newHandler(out, opts.Format, level)
+	writer := opts.Writer
+	if writer == nil {
+		writer = out
+	}
+	handler, err := newHandler(writer, opts.Format, level, isTerminal(out))
 	if err != nil {
 		return nil, err
 	}
 	return slog.New(newRateLimitHandler(handler, eventsPerSecond, eventBurst)), nil
 }
 
-func newHandler(out *os.File, format string, level slog.Level) (slog.Handler, error) {
-	terminal := isTerminal(out)
+func newHandler(out io.Writer, format string, level slog.Level, terminal bool) (slog.Handler, error) {
 	if format == formatAuto {
 		format = formatJSON
 		if terminal {
