--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -138,3 +138,44 @@
 	}
 	discoverytest.Must(t, conn.Close())
 }
+
+// A frame that comes slowly, in pieces, is waited for: a connection that is given up over it
+// would have to begin again, and never get further on a crowded bus.
+func TestSlowBus(t *testing.T) {
+	const idleTimeout, pieces = 200 * time.Millisecond, 12
+	listener := tcptest.Listen(t, tcptest.AnyLoopbackPort)
+	updates := make(recorder, 1)
+	startWatcher(t, options{
+		addr: listener.Addr().String(), zones: []string{"a"}, kinds: []string{"std"}, sink: updates,
+		configure: func(w *Watcher) { w.idleTimeout = idleTimeout },
+	})
+	conn, _ := accept(t, listener)
+	frame := encodeFrame(1, frameFull, record{id: 7, port: 70}.encode())
+	for n := range pieces {
+		_, err := conn.Write(frame[n*len(frame)/pieces : (n+1)*len(frame)/pieces])
+		discoverytest.Must(t, err)
+		time.Sleep(idleTimeout / 3)
+	}
+	discoverytest.Receive(t, updates, "the event")
+}
+
+// A frame that never ends does not hold the connection for good.
+func TestEndlessFrame(t *testing.T) {
+	const idleTimeout = 40 * time.Millisecond
+	listener := tcptest.Listen(t, tcptest.AnyLoopbackPort)
+	startWatcher(t, options{
+		addr: listener.Addr().String(), sink: make(recorder, 1),
+		configure: func(w *Watcher) { w.idleTimeout = idleTimeout },
+	})
+	conn, _ := accept(t, listener)
+	go func() {
+		_, _ = conn.Write([]byte{0, 1, 0, 0}) // 64 KB follow, by its length
+		for {
+			if _, err := conn.Write([]byte{0}); err != nil {
+				return
+			}
+			time.Sleep(idleTimeout / 4)
+		}
+	}()
+	accept(t, listener) // the next connection
+}
