--- a/internal/eventloop/socket_test.go
+++ b/internal/eventloop/socket_test.go
@@ -144,3 +144,27 @@
 		}
 	})
 }
+
+// What a peer has sent is handed on although a write to it fails: it may be the answer to an
+// earlier request.
+func TestBytesBeforeAFailedWriteAreHandedOn(t *testing.T) {
+	l, r, peer := connectedPair(t)
+	eventlooptest.Do(l, func() {
+		r.conn.socket.waitFor(0) // the poller does not come first
+		if _, err := io.WriteString(peer, "an answer"); err != nil {
+			t.Error(err)
+		}
+		setSystem(r.conn, system{read: unix.Read, write: func(int, []byte) (int, error) { return -1, unix.EPIPE }})
+		if r.conn.Write([]byte("a request")) || r.conn.Write([]byte("another")) {
+			t.Error("the write was taken")
+		}
+	})
+	if err := <-r.closed; !errors.Is(err, unix.EPIPE) {
+		t.Errorf("closed with %v", err)
+	}
+	eventlooptest.Do(l, func() {
+		if len(r.data) != 1 || r.data[0] != "an answer" {
+			t.Errorf("OnData got %q", r.data)
+		}
+	})
+}
