Wait for the rest of a frame that the event bus sends slowly

Cause: only whole frames restarted the watcher's idle timer (eventbus/watcher.go), so a list that takes over 2.5 s was given up and begun again, on a crowded bus without end. Ruled out: the dial and the backoff. Change: the bytes of an incomplete frame are a sign of life too, for eight idle times at most; a bus that stops in the middle of a frame is still left 2.5 s after its last byte.

--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -21,9 +21,12 @@
 	initialBackoff = 50 * time.Millisecond
 	// defaultMaxBackoff is the MaxBackoff of a new watcher.
 	defaultMaxBackoff = 250 * time.Millisecond
-	// defaultIdleTimeout is the longest time between two frames: the bus sends a heartbeat
-	// each second.
+	// defaultIdleTimeout is the longest time without a byte: the bus sends a heartbeat each
+	// second.
 	defaultIdleTimeout = 2500 * time.Millisecond
+	// maxFrameTimeouts is how many of these times a frame may take that comes in pieces. The
+	// list of a large fleet, from a crowded bus, takes some.
+	maxFrameTimeouts = 8
 )
 
 var (
@@ -69,7 +72,9 @@
 	cancelDial func() // cancels the latest dial; may be called when it is over
 	conn       *eventloop.Conn
 	retryTimer *timerqueue.Timer // starts the next attempt
-	idleTimer  *timerqueue.Timer // ends a connection that brings no frame
+	idleTimer  *timerqueue.Timer // ends a connection that brings nothing
+	// partialSince is when the first part of an incomplete frame came; 0: none has.
+	partialSince time.Duration
 }
 
 // New returns a watcher that requests the events after the one numbered lastEvent. Zones
@@ -163,12 +168,12 @@
 		return
 	}
 	w.state = stateConnected
-	w.conn = c
+	w.conn, w.partialSince = c, 0
 	c.Write(binary.BigEndian.AppendUint64(nil, w.lastEvent))
 	w.restartIdleTimer()
 }
 
-// restartIdleTimer bounds the wait for the next frame. It protects against a bus that
+// restartIdleTimer bounds the wait for the next bytes. It protects against a bus that
 // vanishes without closing the connection, which would stay open forever.
 func (w *Watcher) restartIdleTimer() {
 	w.idleTimer.Stop()
@@ -201,8 +206,10 @@
 	for c == w.conn {
 		f, err := parseFrame(in.Bytes())
 		if errors.Is(err, errFrameIncomplete) {
+			w.awaitRest(in.Len() > 0)
 			return
 		}
+		w.partialSince = 0
 		if err == nil {
 			err = w.take(f)
 			in.Consume(f.size())
@@ -214,6 +221,21 @@
 	}
 }
 
+// awaitRest waits for the rest of a frame of which a part has come: its bytes are a sign of
+// life as good as a frame, for so long as one may take.
+func (w *Watcher) awaitRest(partial bool) {
+	if !partial {
+		return
+	}
+	now := w.loop.Now()
+	if w.partialSince == 0 {
+		w.partialSince = now
+	}
+	if now-w.partialSince < maxFrameTimeouts*w.idleTimeout {
+		w.restartIdleTimer()
+	}
+}
+
 // OnClosed schedules the next attempt to connect.
 func (w *Watcher) OnClosed(c *eventloop.Conn, err error) {
 	if c != w.conn {
