Read what a peer has sent before a failed write ends the connection

Seen: bytes that lay in the socket when a write failed were dropped (TestBytesBeforeAFailedWriteAreHandedOn): an answer that the engine sent before its reset, as a write to it is under way. Cause: socket.write and flush closed at once, and events flushed before they read. Change: a failed write ends the sending alone; the loop reads what has come, hands it on, and then tells the end. Events read first.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -85,6 +85,17 @@
 
 func (c *Conn) setState(s connState) { c.state.Store(int32(s)) }
 
+// writeFailed reads what the peer has sent, and then ends the connection with the error. It
+// may be called from any goroutine, and while mu is held.
+func (c *Conn) writeFailed(err error) {
+	c.loop.Post(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readAndPost(c.loop.readBuffer, true)
+		c.socket.close(err)
+	})
+}
+
 // ended notes that the socket is closed. It may be called from any goroutine.
 func (c *Conn) ended(err error) {
 	c.disconnected.Store(true)
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -39,6 +39,9 @@
 	read(chunk []byte, streamEnded bool)
 	// bytesWritten reports that n bytes of the queue were sent.
 	bytesWritten(n int)
+	// writeFailed reports, once, that nothing can be sent any more. The socket is still
+	// open, since the peer may have sent something before.
+	writeFailed(err error)
 	// ended reports, once, that the socket is closed.
 	ended(err error)
 }
@@ -54,6 +57,7 @@
 
 	mu       sync.Mutex
 	closed   bool   // guarded by mu, as are those below
+	broken   bool   // a write has failed
 	queue    []byte // what waits to be sent
 	sent     int    // bytes at the start of queue that have been sent
 	interest uint32 // the events that the poller waits for
@@ -82,15 +86,15 @@
 
 // handle handles an event of the poller.
 func (s *socket) handle(events uint32, readBuffer []byte) {
-	if events&unix.EPOLLOUT != 0 {
-		s.flush()
-	}
-	switch {
+	switch { // before the flush: what the peer has sent counts even if that fails
 	case events&unix.EPOLLIN != 0:
 		s.owner.read(readBuffer, events&unix.EPOLLRDHUP != 0)
 	case events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0:
 		s.close(s.pendingError())
 	}
+	if events&unix.EPOLLOUT != 0 {
+		s.flush()
+	}
 }
 
 // pendingError returns the error that the kernel holds for the socket, or nil.
@@ -141,21 +145,35 @@
 	return min(time.Duration(info.Last_data_recv)*time.Millisecond, maxDataAge)
 }
 
-// write sends data, or queues what the socket does not take at once. After an error the
-// socket is closed, and the data was not sent completely.
+// write sends data, or queues what the socket does not take at once. After an error the data
+// was not sent completely, and the socket is about to end.
 func (s *socket) write(data []byte) error {
 	err := s.tryWrite(data)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		s.close(err)
+		s.breakOff(err)
 	}
 	return err
 }
 
+// breakOff ends the sending direction after an error.
+func (s *socket) breakOff(err error) {
+	s.mu.Lock()
+	first := !s.closed && !s.broken
+	s.broken, s.queue, s.sent = true, nil, 0
+	if first {
+		s.setInterest(s.interest &^ unix.EPOLLOUT)
+	}
+	s.mu.Unlock()
+	if first {
+		s.owner.writeFailed(err)
+	}
+}
+
 func (s *socket) tryWrite(data []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.closed:
+	case s.closed, s.broken:
 		return net.ErrClosed
 	case len(s.queue)-s.sent+len(data) > maxPendingWrite:
 		return errWriteQueueFull
@@ -175,14 +193,14 @@
 // flush sends what is queued.
 func (s *socket) flush() {
 	if err := s.tryFlush(); err != nil {
-		s.close(err)
+		s.breakOff(err)
 	}
 }
 
 func (s *socket) tryFlush() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.queue) == 0 {
+	if s.closed || s.broken || len(s.queue) == 0 {
 		return nil
 	}
 	n, err := s.send(s.queue[s.sent:])
@@ -208,7 +226,7 @@
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
 			return sent, nil
-		case err != nil:
+		default: // an error, or nothing without one
 			return sent, err
 		}
 	}
