--- a/internal/eventloop/read_test.go
+++ b/internal/eventloop/read_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"runtime"
 	"testing"
+	"time"
 
 	"flaxrelay/internal/eventloop/eventlooptest"
 )
@@ -107,3 +108,30 @@
 		})
 	}
 }
+
+// The end of a client is noticed although its bytes are not read on, as behind a request in
+// flight, also where the buffer was full before reading was limited.
+func TestFullBufferDoesNotHideTheEnd(t *testing.T) {
+	l, r, peer := connectedPair(t)
+	eventlooptest.Do(l, func() { r.idle = true })
+	const readLimit, unread = 64 << 10, 16 << 10
+	if _, err := peer.Write(make([]byte, readLimit+unread)); err != nil {
+		t.Fatal(err)
+	}
+	for l.BufferedBytes() < readLimit {
+		runtime.Gosched()
+	}
+	eventlooptest.Do(l, func() {
+		r.conn.LimitReadAhead(true)
+		r.conn.Redeliver()
+	})
+	eventlooptest.Do(l, func() {})
+	if err := peer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-r.closed:
+	case <-time.After(2 * time.Second):
+		t.Error("the end was not noticed")
+	}
+}
