Notice a client's end although its buffer was full before

Cause: pauseReading (eventloop/read.go) waits for nothing where the read-ahead is not limited, and a limit set after that changed nothing. Ruled out: a limit set before, which the same function honours. Change: each delivery decides anew. The test's first play with the race detector also found poller.add reading the interest without its lock, beside the first event: it takes the lock now.

--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -83,7 +83,9 @@
 	s.token = p.lastToken
 	p.sockets[s.token] = s
 	p.mu.Unlock()
+	s.mu.Lock() // the first event may come, and change the interest, before control returns
 	err := p.control(unix.EPOLL_CTL_ADD, s.descriptor, s.token, s.interest)
+	s.mu.Unlock()
 	if err != nil {
 		p.remove(s)
 	}
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -151,9 +151,13 @@
 	case connClosed:
 	}
 	c.loop.bufferedBytes.Add(int64(c.in.Len() - before))
-	if c.readPaused && c.in.Len() < c.bufferLimit() {
+	switch {
+	case !c.readPaused:
+	case c.in.Len() < c.bufferLimit():
 		c.readPaused, c.readLate = false, true
 		c.socket.waitFor(readEvents)
+	default:
+		c.pauseReading() // anew: the handler may have limited the read-ahead
 	}
 	c.mu.Unlock()
 }
