--- a/cmd/flaxrelay/shutdown_test.go
+++ b/cmd/flaxrelay/shutdown_test.go
@@ -13,6 +13,25 @@
 	"flaxrelay/internal/tcptest"
 )
 
+// startServer runs a server of the HTTP protocol with one engine, in this process. Replacements
+// are pairs of texts in the example configuration. The channel is closed when its loop has ended.
+func startServer(t *testing.T, engine string, replacements ...string) (s *server, ended <-chan struct{}) {
+	t.Helper()
+	replacements = append(replacements, exampleEngineAddress, engine, exampleListenAddress, tcptest.AnyLoopbackPort)
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeFile(t, path, strings.NewReplacer(replacements...).Replace(readFile(t, exampleConfig)))
+	s = newServer(slog.New(slog.DiscardHandler))
+	if err := s.listenHTTP(path, ""); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		s.loop.Run()
+		close(done)
+	}()
+	return s, done
+}
+
 // A graceful shutdown: a client that comes right after SIGTERM is still served, what is
 // in flight goes on, what no engine answers gets its final answer before the kill, and
 // then the server ends.
@@ -28,18 +47,7 @@
 		}
 		arrived <- requestID
 	})
-	path := filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, path, strings.NewReplacer(exampleEngineAddress, engine, exampleListenAddress, tcptest.AnyLoopbackPort).
-		Replace(readFile(t, exampleConfig)))
-	s := newServer(slog.New(slog.DiscardHandler))
-	if err := s.listenHTTP(path, ""); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		s.loop.Run()
-		close(ended)
-	}()
+	s, ended := startServer(t, engine)
 	unanswered := sendLookup(t, s.frontEnd.Addr(), unansweredID)
 	<-arrived
 	startedAt := time.Now()
@@ -65,19 +73,7 @@
 // its end, is answered too.
 func TestGracefulShutdown_RequestThatCompletesAtItsEndIsAnswered(t *testing.T) {
 	engine := startEngine(t, func(net.Conn, string) {}) // it never answers
-	path := filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, path, strings.NewReplacer(exampleEngineAddress, engine, exampleListenAddress, tcptest.AnyLoopbackPort,
-		`"hard-limit-ms": 6000`, `"hard-limit-ms": 1000`, `"hard-limit-ms": 20000`, `"hard-limit-ms": 1000`).
-		Replace(readFile(t, exampleConfig)))
-	s := newServer(slog.New(slog.DiscardHandler))
-	if err := s.listenHTTP(path, ""); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		s.loop.Run()
-		close(ended)
-	}()
+	s, ended := startServer(t, engine, `"hard-limit-ms": 6000`, `"hard-limit-ms": 1000`, `"hard-limit-ms": 20000`, `"hard-limit-ms": 1000`)
 	client := newHTTPClient(t, s.frontEnd.Addr(), 10*time.Second)
 	request := lookupRequest("9b1f03aa5c7e2d43")
 	half := len(request) / 2
