--- a/internal/eventloop/read_test.go
+++ b/internal/eventloop/read_test.go
@@ -130,7 +130,10 @@
 		t.Fatal(err)
 	}
 	select {
-	case <-r.closed:
+	case err := <-r.closed:
+		if err != nil {
+			t.Errorf("closed with %v", err)
+		}
 	case <-time.After(2 * time.Second):
 		t.Error("the end was not noticed")
 	}
