Take a missing route that stays for an engine that is down

Cause: a dial that failed with ENETUNREACH for all of its 100 ms ended as local-failure, so an engine without a route would be chosen again and again. Ruled out: buffers, ports and descriptors, which all engines share. Change: only these are local failures; a route is tried again too, but then counts as connect-timeout.

--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -39,7 +39,7 @@
 	giveUpAt := time.Now().Add(dialRetryTime)
 	for delay := dialRetryDelay; ; delay *= 2 {
 		s, err := l.connectOnce(ctx, addr)
-		if err == nil || !IsLocalFailure(err) || time.Now().Add(delay).After(giveUpAt) {
+		if err == nil || !mayPass(err) || time.Now().Add(delay).After(giveUpAt) {
 			return s, err
 		}
 		select {
--- a/internal/eventloop/errors.go
+++ b/internal/eventloop/errors.go
@@ -14,16 +14,24 @@
 // it, as opposed to a dial that timed out or failed on this side.
 func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// localFailures are the errors of a dial that come from this machine and pass: its tables,
-// buffers, ports or routes. They say nothing of the peer.
+// localFailures are the errors of a call that lacked something on this machine: room in its
+// tables or buffers, a port. They say nothing of the peer.
 var localFailures = []error{
-	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
-	syscall.ENETDOWN, syscall.EAGAIN, syscall.EINTR, syscall.EPERM,
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR,
 }
 
-// IsLocalFailure reports whether a dial failed on this side.
-func IsLocalFailure(err error) bool {
-	return slices.ContainsFunc(localFailures, func(failure error) bool { return errors.Is(err, failure) })
+// routeFailures are the errors of a dial without a route. One that passes at once is this
+// machine's; one that stays is as good as a peer that is down.
+var routeFailures = []error{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EPERM}
+
+// IsLocalFailure reports whether a call failed for want of something on this side.
+func IsLocalFailure(err error) bool { return isAny(err, localFailures) }
+
+// mayPass reports whether a failed dial is worth another at once.
+func mayPass(err error) bool { return IsLocalFailure(err) || isAny(err, routeFailures) }
+
+func isAny(err error, targets []error) bool {
+	return slices.ContainsFunc(targets, func(target error) bool { return errors.Is(err, target) })
 }
 
 // IsDescriptorExhausted reports whether a call failed because this process or the
