--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -52,3 +52,23 @@
 	}
 	client.assertClosed()
 }
+
+// The end of a shutdown rejects each of the requests that a client has sent at once behind one
+// that is in flight.
+func TestFinish_PipelinedRequestsAreAllRejected(t *testing.T) {
+	addr, seen := startLineEngine(t, noReply)
+	front := startHTTP(t, addr)
+	client := connectHTTP(t, front.addr)
+	client.send(queryRequest("lookup", ""))
+	await(t, seen)
+	front.onLoop(func() {
+		front.httpServer.Drain()
+		front.deliver(client, withID(queryRequest("lookup", ""), numberedID(1))+withID(queryRequest("lookup", ""), numberedID(2)))
+		front.dispatcher.CompleteAll()
+		front.httpServer.Finish()
+	})
+	for range 3 {
+		assertEqual(t, "answer", client.receive(), busyResult)
+	}
+	client.assertClosed()
+}
