Reject all that has arrived at the end of a shutdown

Cause: Finish refused, and closed, a connection whose buffer still held whole requests behind the one that had just been answered. Change: these go through the dispatcher, which rejects each; only a partial request is refused.

--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -125,6 +125,8 @@
 			c.abandonRequest()
 			c.reject(wrongContentLength())
 		}
+	case c.server.finishing && in.Len() > 0:
+		c.refuse(closeShutdown)
 	case c.readTimer == nil && (in.Len() > 0 || !c.validRequestSeen):
 		c.startReadTimer()
 	}
--- a/internal/frontend/httpserver/server.go
+++ b/internal/frontend/httpserver/server.go
@@ -59,6 +59,7 @@
 	inFlightIDs      map[string]struct{} // of requests that are not answered yet
 	results          *resultStore
 	draining         bool // a graceful shutdown has begun
+	finishing        bool // it is about to end: nothing more is waited for
 	evictionRetrySet bool // a timer will call evictExcess again
 }
 
@@ -107,12 +108,13 @@
 	}
 }
 
-// Finish ends a graceful shutdown: a request that has partly arrived is refused, since nothing
-// can be served any more.
+// Finish ends a graceful shutdown, once the dispatcher rejects whatever comes: the requests that
+// have arrived are rejected by it, and one that has partly arrived is refused.
 func (s *Server) Finish() {
+	s.finishing = true
 	for c := range s.connections {
 		if c.awaitsRequest() && !c.closeUnused(closeShutdown) {
-			c.refuse(closeShutdown)
+			c.socket.Redeliver()
 		}
 	}
 }
