--- a/internal/e2e/crossings_test.go
+++ b/internal/e2e/crossings_test.go
@@ -60,6 +60,29 @@
 	assertEqual(t, "answer", client.receive(), busyResult)
 }
 
+// So is each of several requests that such a client has sent at once, and a part of one behind them.
+func TestConnectionLimit_AllRequestsReadBeforeTheEvictionAreAnswered(t *testing.T) {
+	addr, _ := startLineEngine(t, emptyReply)
+	front := newFrontEnd(t, nil)
+	front.httpOptions = httpserver.Options{MaxClients: 1}
+	front.serveHTTP(addr)
+	client := connectHTTP(t, front.addr)
+	front.awaitCount("http.connections", 1)
+	const pastMinSilentTime = 30 * time.Millisecond
+	time.Sleep(pastMinSilentTime)
+	front.onLoop(func() {
+		dial(t, front.addr)
+		time.Sleep(pastMinSilentTime)
+		request := queryRequest("lookup", "")
+		front.deliver(client, request+withID(request, numberedID(2))+request[:len(request)/2])
+	})
+	for range 3 {
+		assertEqual(t, "answer", client.receive(), busyResult)
+	}
+	client.assertClosed()
+	front.assertCount("attempts.started.", 0)
+}
+
 // The time of a request that waits in the kernel for its connection to be accepted runs from its
 // last byte too: accepts may fail for a while, and the place of an earlier client may be needed.
 func TestHTTP_TimeOfARequestCountsWhileItsConnectionWaitsForItsAccept(t *testing.T) {
