Refuse each request that has arrived on a connection that is evicted

Cause: evict refused once and closed over what stood behind. Change: an evicted connection refuses request by request, then the part of one that is left, and closes; it no longer counts as open meanwhile.

--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -42,6 +42,7 @@
 	// validRequestSeen marks a client that has made a valid request: eviction prefers others.
 	validRequestSeen   bool
 	closeAfterResponse bool
+	evicting           bool        // its place is needed: what has arrived is refused
 	closeReason        closeReason // why this side closes the connection; "": it doesn't
 	// unread is what has arrived behind the request being read, during OnData alone.
 	unread  int
@@ -125,6 +126,8 @@
 			c.abandonRequest()
 			c.reject(wrongContentLength())
 		}
+	case c.evicting && in.Len() > 0:
+		c.refuse(closeEvicted)
 	case c.server.finishing && in.Len() > 0:
 		c.refuse(closeShutdown)
 	case c.readTimer == nil && (in.Len() > 0 || !c.validRequestSeen):
--- a/internal/frontend/httpserver/eviction.go
+++ b/internal/frontend/httpserver/eviction.go
@@ -47,13 +47,15 @@
 }
 
 // evict closes the connection in favour of others. A client whose first request has arrived, or
-// a part of it, is refused instead; one that was served before keeps its connection then.
+// a part of it, is refused first, and so are those behind it; one that was served before keeps
+// its connection then.
 func (c *connection) evict() {
 	if !c.closeUnused(closeEvicted) {
 		if c.validRequestSeen {
 			return
 		}
-		c.refuse(closeEvicted)
+		c.evicting = true
+		c.socket.Redeliver()
 	}
 	c.server.counters.Increment("http.evicted")
 }
@@ -64,6 +66,9 @@
 func (s *Server) findVictim() (open int, victim *connection) {
 	now := s.loop.Now()
 	for c := range s.connections {
+		if c.evicting && c.state != stateClosing { // it ends once its requests are refused
+			continue
+		}
 		if c.state == stateClosing {
 			if c.socket.PendingWrite() == 0 {
 				c.socket.Abort()
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -48,7 +48,7 @@
 	if c.state == stateClosing {
 		return
 	}
-	if c.server.draining && c.state != statePaging && !c.hasUnread() {
+	if (c.server.draining || c.evicting) && c.state != statePaging && !c.hasUnread() {
 		c.closeAfterResponse = true
 	}
 	c.socket.Write(appendResponse(make([]byte, 0, usualHeadSize+len(body)), status, retryAfter, c.closeAfterResponse, body))
--- a/internal/frontend/httpserver/routing.go
+++ b/internal/frontend/httpserver/routing.go
@@ -16,6 +16,11 @@
 
 // route serves one request by its method and path.
 func (c *connection) route(request httpRequest) {
+	if c.evicting {
+		c.closeReason = closeEvicted
+		c.write(http.StatusServiceUnavailable, c.server.dispatcher.RetryAfter(), []byte(busyBody))
+		return
+	}
 	var err *statusError
 	switch path, method := request.path, request.method; {
 	case path == healthPath && method == http.MethodGet:
