--- a/internal/eventloop/socket_test.go
+++ b/internal/eventloop/socket_test.go
@@ -168,3 +168,31 @@
 		}
 	})
 }
+
+// What has been sent does not stay in memory while a peer that reads slowly leaves the queue
+// never empty.
+func TestWriteQueueForgetsWhatWasSent(t *testing.T) {
+	l, r, _ := connectedPair(t)
+	const size, writes = 1000, 20000
+	eventlooptest.Do(l, func() {
+		l.poller.remove(r.conn.socket) // else its goroutine empties the queue
+		takes := false
+		setSystem(r.conn, system{read: unix.Read, write: func(_ int, p []byte) (int, error) {
+			if takes = !takes; !takes {
+				return -1, unix.EAGAIN
+			}
+			return min(len(p), size), nil // as if the peer had read as much
+		}})
+		r.conn.Write(make([]byte, 10*size)) // the queue never empties from here on
+		for range writes {
+			if !r.conn.Write(make([]byte, size)) {
+				t.Error("a write was refused")
+			}
+			r.conn.socket.flush()
+		}
+		if held, pending := cap(r.conn.socket.queue), r.conn.PendingWrite(); held > 4*pending+1<<20 {
+			t.Errorf("%d bytes held for %d that wait", held, pending)
+		}
+		r.conn.Abort()
+	})
+}
