Forget what was sent of a write queue that is never empty

Cause: tryWrite (eventloop/socket_write.go) appended to the queue, whose sent part was dropped only once all was sent; a peer that always leaves some unread kept all. Ruled out: the bound on pending bytes, which does not count what was sent. Change: the sent part goes once it is half of the queue.

--- a/internal/eventloop/close.go
+++ b/internal/eventloop/close.go
@@ -14,7 +14,8 @@
 // unread bytes resets the connection, and the peer may then never see that answer.
 const lingerTime = 250 * time.Millisecond
 
-// Close ends the connection once what was written has been sent. OnClosed is called later, and OnData no longer.
+// Close ends the connection once what was written has been sent. OnClosed is called later,
+// and OnData no longer.
 func (c *Conn) Close() {
 	if c.loadState() != connOpen {
 		return
--- a/internal/eventloop/socket_write.go
+++ b/internal/eventloop/socket_write.go
@@ -47,11 +47,21 @@
 		}
 		data = data[n:]
 	}
-	s.queue = append(s.queue, data...)
+	s.enqueue(data)
 	s.setInterest(s.interest | unix.EPOLLOUT)
 	return nil
 }
 
+// enqueue adds data to the queue, without the part of it that has been sent where that is most
+// of it: a peer that reads slowly may leave the queue never empty. The caller holds mu.
+func (s *socket) enqueue(data []byte) {
+	if s.sent >= len(s.queue)/2 {
+		rest := copy(s.queue, s.queue[s.sent:])
+		s.queue, s.sent = s.queue[:rest], 0
+	}
+	s.queue = append(s.queue, data...)
+}
+
 // flush sends what is queued.
 func (s *socket) flush() {
 	if err := s.tryFlush(); err != nil {
