Have the soak's files fail all the time, and count what it injects

Cause: files are written seldom, so faults of files in spans of 1 to 2 s hardly met one, and nothing counted them. Change: failing and torn file writes are always on (one in five); the result names how many faults of each kind were injected.

--- a/internal/lab/soak/frontend.go
+++ b/internal/lab/soak/frontend.go
@@ -42,6 +42,7 @@
 
 	mu          sync.Mutex
 	process     *syscallfault.Process
+	processes   []*syscallfault.Process // all so far
 	incarnation int
 	ready       bool
 	endingAt    time.Time // of the latest SIGTERM or SIGKILL to this process; zero: none
@@ -88,6 +89,7 @@
 	}
 	f.mu.Lock()
 	f.process, f.endingAt = process, time.Time{}
+	f.processes = append(f.processes, process)
 	f.incarnation++
 	f.mu.Unlock()
 	go f.watch(process)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -34,6 +34,7 @@
 	Outcomes   map[string]int
 	Attempts   int
 	Troubles   map[string]int
+	Injected   map[string]int // faults of system calls, by kind
 	Violations []Violation
 }
 
@@ -154,7 +155,14 @@
 		f.checkLog()
 		starts[f.name] = f.readyTimes
 	}
-	result := &Result{Seed: r.options.Seed, Folder: r.folder, Outcomes: map[string]int{}, Troubles: r.played}
+	result := &Result{Seed: r.options.Seed, Folder: r.folder, Outcomes: map[string]int{}, Troubles: r.played, Injected: map[string]int{}}
+	for _, f := range r.frontEnds {
+		for _, process := range f.processes {
+			for kind, count := range process.Counts() {
+				result.Injected[string(kind)] += count
+			}
+		}
+	}
 	result.Violations = r.history.judge(starts)
 	r.history.mu.Lock()
 	defer r.history.mu.Unlock()
@@ -169,7 +177,7 @@
 func (r *Result) String() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "seed %d: %d attempts", r.Seed, r.Attempts)
-	for _, counts := range []map[string]int{r.Outcomes, r.Troubles} {
+	for _, counts := range []map[string]int{r.Outcomes, r.Troubles, r.Injected} {
 		names := []string{}
 		for name := range counts {
 			names = append(names, name)
@@ -216,9 +224,12 @@
 	return r.engineID
 }
 
-// faults are those that a front end always has: few, so that it is not all that happens.
+// faults are those that a front end always has: few, so that it is not all that happens, but for
+// those of files, which are written seldom.
 func (r *run) faults() syscallfault.Faults {
-	return syscallfault.Faults{ShortWrite: 0.01, InterruptWrite: 0.01, ShortRead: 0.01, InterruptRead: 0.01}
+	return syscallfault.Faults{
+		ShortWrite: 0.01, InterruptWrite: 0.01, ShortRead: 0.01, InterruptRead: 0.01, FailFile: 0.2, TornFile: 0.2,
+	}
 }
 
 // shapes writes the file of statement statistics for a front end, whose folder lasts, and returns
