--- a/internal/frontend/httpserver/disconnect_test.go
+++ b/internal/frontend/httpserver/disconnect_test.go
@@ -27,8 +27,10 @@
 func (noEngines) SetPriority(*lifecycle.Attempt, int) {}
 func (noEngines) UpdateEndpoint(lifecycle.Endpoint)   {}
 
-// A client sends requests and disconnects before the first of them is read: none is accepted.
-func TestDisconnectedClientsRequestsAreDropped(t *testing.T) {
+// startTestServer returns a server that runs until the end of the test. Its one engine can't be
+// reached.
+func startTestServer(t *testing.T) *Server {
+	t.Helper()
 	raw, err := os.ReadFile("../../../deploy/postgres-settings.json")
 	if err != nil {
 		t.Fatal(err)
@@ -53,18 +55,30 @@
 		t.Fatal(err)
 	}
 	eventlooptest.Run(t, loop)
-	client, err := net.Dial("tcp", server.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	var c *connection
+	return server
+}
+
+// firstConnection waits for a client's connection.
+func firstConnection(server *Server) (c *connection) {
 	for c == nil {
-		eventlooptest.Do(loop, func() {
+		eventlooptest.Do(server.loop, func() {
 			for open := range server.connections {
 				c = open
 			}
 		})
 	}
+	return c
+}
+
+// A client sends requests and disconnects before the first of them is read: none is accepted.
+func TestDisconnectedClientsRequestsAreDropped(t *testing.T) {
+	server := startTestServer(t)
+	loop, counters := server.loop, server.counters
+	client, err := net.Dial("tcp", server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := firstConnection(server)
 	const request = "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 900\r\nContent-Length: 8\r\n\r\nSELECT 1"
 	eventlooptest.Do(loop, func() {
 		if _, err := io.WriteString(client, request+request); err != nil {
