--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -22,7 +22,8 @@
 }
 
 var cases = map[string]func(*environment) (broken bool, err error){
-	"operators": operatorsCase,
+	"operators":  operatorsCase,
+	"secondcopy": secondCopyCase,
 }
 
 func main() { os.Exit(play()) }
