--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*environment) (broken bool, err error){
 	"operators":  operatorsCase,
 	"secondcopy": secondCopyCase,
+	"twice":      twiceCase,
 }
 
 func main() { os.Exit(play()) }
