Review case 3: the engine dies after its commit, as a sound server would

Cause: the stand-in counted a statement at its Execute, before the Sync that commits it; a real engine would have rolled it back.

Change: the stand-in answers and commits at the Sync and dies after that.

--- a/review/kit/postgres.go
+++ b/review/kit/postgres.go
@@ -69,19 +69,19 @@
 	return binary.BigEndian.Uint32(head[4:]), err
 }
 
-// pgEngine is a stand-in for a PostgreSQL engine. It records each execution of a statement.
+// pgEngine is a stand-in for a PostgreSQL engine. It answers and commits at each Sync, and records each statement that
+// it has committed.
 type pgEngine struct {
 	name     string
 	listener *net.TCPListener
 	rec      *record
-	// diesAfter makes the engine die as soon as it has run a statement that contains this text, before it answers;
-	// "": it does not die.
+	// diesAfter reports whether the engine dies once it has committed the statement, before it answers.
 	diesAfter func(statement string) bool
 
-	mu    sync.Mutex
-	conns map[*net.TCPConn]bool
-	runs  []string
-	dead  bool
+	mu        sync.Mutex
+	conns     map[*net.TCPConn]bool
+	committed []string
+	dead      bool
 }
 
 func startPGEngine(rec *record, name string, diesAfter func(string) bool) (*pgEngine, error) {
@@ -126,7 +126,8 @@
 	}
 	conn.Write(bytes.Join([][]byte{pgMessage('R', pgInt32(0)), pgMessage('K', pgInt32(7), pgInt32(7)), pgReady()}, nil))
 	prepared := map[string]string{}
-	bound := ""
+	var bound, executed string
+	var answer []byte // sent at the Sync
 	for {
 		kind, body, err := readPG(in)
 		if err != nil {
@@ -137,37 +138,39 @@
 		case 'P':
 			text, _, _ := bytes.Cut(rest, []byte{0})
 			prepared[string(first)] = string(text)
-			conn.Write(pgMessage('1'))
+			answer = append(answer, pgMessage('1')...)
 		case 'B':
 			name, _, _ := bytes.Cut(rest, []byte{0})
 			bound = prepared[string(name)]
-			conn.Write(pgMessage('2'))
+			answer = append(answer, pgMessage('2')...)
 		case 'D':
-			conn.Write(pgColumn("x"))
+			answer = append(answer, pgColumn("x")...)
 		case 'E':
-			if !e.execute(bound) {
+			time.Sleep(50 * time.Millisecond) // the work
+			executed = bound
+			answer = append(append(answer, pgRow("1")...), pgComplete("SELECT 1")...)
+		case 'S':
+			if executed != "" && !e.commit(executed) {
 				return
 			}
-			conn.Write(append(pgRow("1"), pgComplete("SELECT 1")...))
-		case 'S':
-			conn.Write(pgReady())
+			conn.Write(append(answer, pgReady()...))
+			executed, answer = "", nil
 		case 'X':
 			return
 		}
 	}
 }
 
-// execute runs a statement, and reports whether the engine is alive afterwards.
-func (e *pgEngine) execute(statement string) bool {
-	time.Sleep(50 * time.Millisecond)
+// commit commits a statement, and reports whether the engine is alive afterwards.
+func (e *pgEngine) commit(statement string) bool {
 	e.mu.Lock()
 	if e.dead {
 		e.mu.Unlock()
 		return false
 	}
-	e.runs = append(e.runs, statement)
+	e.committed = append(e.committed, statement)
 	e.mu.Unlock()
-	e.rec.add("engine %s  has run  %s", e.name, statement)
+	e.rec.add("engine %s  has run and committed  %s", e.name, statement)
 	if e.diesAfter != nil && e.diesAfter(statement) {
 		e.rec.add("engine %s  dies before it answers", e.name)
 		e.die()
@@ -179,7 +182,7 @@
 func (e *pgEngine) count(statement string) (n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, run := range e.runs {
+	for _, run := range e.committed {
 		if run == statement {
 			n++
 		}
--- a/review/kit/twice.go
+++ b/review/kit/twice.go
@@ -15,7 +15,7 @@
 	controlStatement = "SELECT award_points(child) FROM stock_17.hints WHERE day = 7"
 )
 
-// twiceCase: an engine of the second front dies when it has run a statement that calls an unknown function.
+// twiceCase: an engine of the second front dies when it has committed a statement that calls an unknown function.
 func twiceCase(e *environment) (broken bool, err error) {
 	var engines []*pgEngine
 	var died bool
@@ -66,7 +66,7 @@
 		for _, engine := range engines {
 			total += engine.count(statement)
 		}
-		e.rec.add("client: %q: %s; engines ran it %d times", short(statement), result, total)
+		e.rec.add("client: %q: %s; engines committed it %d times", short(statement), result, total)
 		return total, result, err
 	}
 	if _, _, err := run(controlStatement); err != nil {
@@ -76,7 +76,7 @@
 	if err != nil {
 		return false, err
 	}
-	e.rec.say("the statement with an unknown function: engines ran it %d times; the client got: %s", total, result)
+	e.rec.say("the statement with an unknown function: engines committed it %d times; the client got: %s", total, result)
 	if total == 0 {
 		return false, errors.New("no engine ran the statement")
 	}
