Review: end each script on signals and in 110 s, and prove what the claims state

Cause: the scripts did not heed SIGTERM (the front end ran on), kept to 120 s only on their usual path, and did not record what was sent. The control of case 3 did not show its class.

Change: one watchdog ends a case on a signal or after 110 s, kills what it started and removes its folder; a taken port is tried again; sent requests and, in case 3, the counters are recorded; six engines and the settings of three front ends; the second copy of case 2 comes 5 ms late. Nothing of the project changes.

--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -35,6 +35,8 @@
 // client sends one request at a time on one connection, and connects again when the connection has ended.
 type client struct {
 	addr     string
+	name     string  // in the record
+	rec      *record // nil: sent requests are not recorded one by one
 	conn     net.Conn
 	in       *bufio.Reader
 	answered int
@@ -80,6 +82,9 @@
 		return a, err
 	}
 	a.sentAt = time.Now()
+	if c.rec != nil {
+		c.rec.add("%s  sent %s %s %q", c.name, class, a.id, statement)
+	}
 	c.conn.SetDeadline(a.sentAt.Add(patience))
 	a.err = c.read(&a)
 	a.took = time.Since(a.sentAt)
--- a/review/kit/frontend.go
+++ b/review/kit/frontend.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -23,6 +25,49 @@
 	exited chan struct{}
 }
 
+// running are the processes that were started and not killed yet.
+var running struct {
+	mu     sync.Mutex
+	closed bool // no further process may be started
+	list   []*frontEnd
+}
+
+// startProcess starts a process. The kernel kills it when the thread that started it ends; that thread therefore waits
+// for it.
+func startProcess(cmd *exec.Cmd, addr, log string) (*frontEnd, error) {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f := &frontEnd{cmd: cmd, addr: addr, log: log, exited: make(chan struct{})}
+	started := make(chan error)
+	go func() {
+		runtime.LockOSThread()
+		running.mu.Lock()
+		err := errors.New("the case has ended")
+		if !running.closed {
+			if err = cmd.Start(); err == nil {
+				running.list = append(running.list, f)
+			}
+		}
+		running.mu.Unlock()
+		started <- err
+		if err == nil {
+			cmd.Wait()
+			close(f.exited)
+		}
+	}()
+	return f, <-started
+}
+
+// killAll kills all processes that were started, and waits for their end.
+func killAll() {
+	running.mu.Lock()
+	running.closed = true
+	list := running.list
+	running.mu.Unlock()
+	for _, f := range list {
+		f.kill()
+	}
+}
+
 // runCommand returns the value of `run` in deploy/balancer.toml.
 func runCommand(root string) (string, error) {
 	text, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
@@ -49,7 +94,7 @@
 // settings are those of a small deployment at the site bern-campus, as the wire page shows them.
 func settings() map[string]any {
 	return map[string]any{
-		"balancers": 1,
+		"balancers": 3,
 		"classes": []any{
 			map[string]any{"aim-ms": 500.0, "aim-stretch": 1.5, "effect": "read_like", "group": "all", "hard-limit-ms": 2500.0,
 				"importance": 1.0, "late-share": 0.0, "name": "lookup", "streamed": false, "window-ms": 5000.0},
@@ -120,15 +165,10 @@
 	cmd.Dir = root
 	cmd.Env = append(os.Environ(), "LB_NAME=n1", "LB_LISTEN="+listen, "LB_CONFIG="+config, "TMPDIR="+dir)
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	f, err := startProcess(cmd, listen, logPath)
+	if err != nil {
 		return nil, err
 	}
-	f := &frontEnd{cmd: cmd, addr: listen, log: logPath, exited: make(chan struct{})}
-	go func() {
-		cmd.Wait()
-		close(f.exited)
-	}()
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		if f.healthy(time.Second) {
 			return f, nil
@@ -202,14 +242,26 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	listen, err := freeAddr()
-	if err != nil {
-		return nil, nil, err
-	}
-	config, err := writeConfig(e.dir, settings(), events.addr(), listen, 192, 1024, engines)
-	if err != nil {
-		return nil, nil, err
+	for attempt := 1; ; attempt++ {
+		listen, err := freeAddr()
+		if err != nil {
+			return nil, nil, err
+		}
+		config, err := writeConfig(e.dir, settings(), events.addr(), listen, 192, 1024, engines)
+		if err != nil {
+			return nil, nil, err
+		}
+		front, err := startFrontEnd(e.ctx, e.root, e.dir, config, listen)
+		if err == nil || attempt == 3 || e.ctx.Err() != nil {
+			return front, engines, err // another process may take a free port at any time
+		}
 	}
-	front, err := startFrontEnd(e.ctx, e.root, e.dir, config, listen)
-	return front, engines, err
+}
+
+// counters returns the lines that the front end prints at SIGUSR1.
+func (f *frontEnd) counters() []string {
+	f.cmd.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(500 * time.Millisecond)
+	log, _ := os.ReadFile(f.log)
+	return strings.Split(string(log), "\n")
 }
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// timeLimit is the longest time of a case; the issue permits 120 s.
+const timeLimit = 110 * time.Second
+
 // environment is what each case gets.
 type environment struct {
 	ctx     context.Context
@@ -34,9 +37,10 @@
 		fmt.Fprintln(os.Stderr, "usage: reviewkit CASE ROOT FOLDER")
 		return 2
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // the reader of standard output may have ended
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, 115*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	rec, err := newRecord(filepath.Join(os.Args[3], "record.txt"))
 	if err != nil {
@@ -52,12 +56,27 @@
 	defer os.RemoveAll(dir)
 	e := &environment{ctx: ctx, root: os.Args[2], dir: dir, trouble: os.Getenv("TROUBLE") != "0", rec: rec}
 	rec.add("case %s, disruption %v", os.Args[1], e.trouble)
-	broken, err := cases[os.Args[1]](e)
+	type result struct {
+		broken bool
+		err    error
+	}
+	played := make(chan result, 1)
+	go func() {
+		broken, err := cases[os.Args[1]](e)
+		played <- result{broken, err}
+	}()
+	var r result
+	select {
+	case r = <-played:
+	case <-ctx.Done():
+		r.err = fmt.Errorf("ended by a signal or after %v", timeLimit)
+	}
+	killAll()
 	switch {
-	case err != nil:
-		rec.say("could not run: %v", err)
+	case r.err != nil:
+		rec.say("could not run: %v", r.err)
 		return 2
-	case broken:
+	case r.broken:
 		rec.say("the rule was BROKEN")
 		return 1
 	}
--- a/review/kit/operators.go
+++ b/review/kit/operators.go
@@ -17,7 +17,8 @@
 
 	lookupWait = 2500 * time.Millisecond // the give-up time of the class
 	lookupWork = 100 * time.Millisecond
-	reportWork = 1700 * time.Millisecond
+
+	engineCount = 6 // "Today 6 to 8 engines"
 
 	// badBytes is the size of the one bad request's body.
 	badBytes = 96000
@@ -25,13 +26,8 @@
 
 // operatorsCase: usual clients send look-ups; one bad client sends one statement that can't be read.
 func operatorsCase(e *environment) (broken bool, err error) {
-	work := func(class string) time.Duration {
-		if class == "report" {
-			return reportWork
-		}
-		return lookupWork
-	}
-	front, _, err := e.deployment(3, work)
+	work := func(string) time.Duration { return lookupWork }
+	front, _, err := e.deployment(engineCount, work)
 	if err != nil {
 		return false, err
 	}
@@ -47,7 +43,7 @@
 	var mu sync.Mutex
 	var sent, answered, lost int
 	usual := func(n int) {
-		c := &client{addr: listen}
+		c := &client{addr: listen, name: fmt.Sprintf("client %d", n), rec: e.rec}
 		defer c.close()
 		time.Sleep(time.Duration(n) * 20 * time.Millisecond)
 		for time.Since(started) < endAt {
--- a/review/kit/postgres.go
+++ b/review/kit/postgres.go
@@ -16,7 +16,6 @@
 	"regexp"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -259,16 +258,7 @@
 	cmd.Dir = e.root
 	cmd.Env = append(os.Environ(), "TMPDIR="+e.dir)
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return nil, err
-	}
-	f := &frontEnd{cmd: cmd, addr: listen, log: logPath, exited: make(chan struct{})}
-	go func() {
-		cmd.Wait()
-		close(f.exited)
-	}()
-	return f, nil
+	return startProcess(cmd, listen, logPath)
 }
 
 // pgClient is a client of the second front. It uses the simple query protocol.
--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -29,6 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	r.out.Flush()
 }
 
 // say writes one line to the record and to standard output.
--- a/review/kit/secondcopy.go
+++ b/review/kit/secondcopy.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	copyEach  = 3                     // each third good answer comes twice
-	copyDelay = 20 * time.Millisecond // "some milliseconds late"
+	copyEach  = 3                    // each third good answer of an engine comes twice
+	copyDelay = 5 * time.Millisecond // "some milliseconds late"
 	// insistFor is how long the bad client repeats one request the moment it is turned away.
 	insistFor = 400 * time.Millisecond
 )
@@ -16,7 +16,7 @@
 // secondCopyCase: engines send some good answers twice. A bad client sends the id of an open request with a different
 // statement, and the same thing again the moment it is turned away.
 func secondCopyCase(e *environment) (broken bool, err error) {
-	front, engines, err := e.deployment(3, func(string) time.Duration { return lookupWork })
+	front, engines, err := e.deployment(engineCount, func(string) time.Duration { return lookupWork })
 	if err != nil {
 		return false, err
 	}
@@ -36,7 +36,7 @@
 	stop := time.Now().Add(15 * time.Second)
 	for n := range 3 {
 		clients.Go(func() {
-			c := &client{addr: front.addr}
+			c := &client{addr: front.addr, name: fmt.Sprintf("client %d", n), rec: e.rec}
 			defer c.close()
 			for i := 0; time.Now().Before(stop); i++ {
 				statement := fmt.Sprintf("SELECT name, day, score FROM kids_%d.progress WHERE child = '%d-%d'", n+1, n, i)
@@ -54,7 +54,7 @@
 				}
 				e.rec.add("client %d  %v %v", n, a, a.rows)
 				mu.Lock()
-				if a.status == 200 && a.fault == "" {
+				if a.status == 200 && a.fault == "" && len(a.rows) > 0 {
 					usualServed++
 					if a.rows[0][1] != statementHash(statement) {
 						foreign++
@@ -73,6 +73,7 @@
 			time.Sleep(20 * time.Millisecond) // the other request is open now
 			own := "SELECT a, b, c FROM kids_9.other WHERE a = 'different'"
 			turnedAway := 0
+			e.rec.add("bad client  sends lookup %s %q, and again when it is turned away", other.id, own)
 			for began := time.Now(); time.Since(began) < insistFor; {
 				a, err := c.callWithID(other.id, "lookup", own, "", lookupWait, lookupWait+lateBound)
 				if err != nil {
--- a/review/kit/twice.go
+++ b/review/kit/twice.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,14 +20,11 @@
 // twiceCase: an engine of the second front dies when it has committed a statement that calls an unknown function.
 func twiceCase(e *environment) (broken bool, err error) {
 	var engines []*pgEngine
-	var died bool
-	for i := range 4 {
+	var died atomic.Bool
+	for i := range engineCount {
 		engine, err := startPGEngine(e.rec, fmt.Sprintf("e%d", i+1), func(statement string) bool {
-			if !e.trouble || died || statement != awardStatement {
-				return false
-			}
-			died = true // one engine of four, once
-			return true
+			// one engine of six, once
+			return e.trouble && statement == awardStatement && !died.Swap(true)
 		})
 		if err != nil {
 			return false, err
@@ -61,6 +60,7 @@
 		e.rec.add("client: look-up: %s", result)
 	}
 	run := func(statement string) (total int, result string, err error) {
+		e.rec.add("client: sent %q", short(statement))
 		result, err = c.query(statement)
 		time.Sleep(500 * time.Millisecond)
 		for _, engine := range engines {
@@ -77,6 +77,11 @@
 		return false, err
 	}
 	e.rec.say("the statement with an unknown function: engines committed it %d times; the client got: %s", total, result)
+	for _, line := range front.counters() { // for the reader; not judged
+		if strings.HasPrefix(line, "count requests.accepted.") || strings.HasPrefix(line, "count attempts.retried") {
+			e.rec.add("front end: %s", line)
+		}
+	}
 	if total == 0 {
 		return false, errors.New("no engine ran the statement")
 	}
