Scan a run of + and - in a statement once, not again for each sign

The event loop analyzes each statement before it is known whether an engine may have it.

The next token read the rest of the run again: quadratic in the length of the run.

Change: the lexer remembers the end of such a run; until there, each sign is a token by itself. The tokens are the same (TestLexer_RunOfSignsIsSplitAsBefore, the golden files).

internal/growthtest compares the processor time of a thread for n and 8n, so that other processes do not matter.

--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -50,6 +50,7 @@
 	"internal/engine/enginetest",
 	"internal/eventloop/eventlooptest",
 	"internal/golden",
+	"internal/growthtest",
 	"internal/tcptest",
 }
 
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -6,6 +6,9 @@
 	Src   string
 	Pos   int
 	Flaws Flaw // found so far
+	// signsEnd is the end of the run of + and - that scanOperator has found last: until there, each sign is a token by
+	// itself. Without it, the rest of the run would be scanned again for each sign.
+	signsEnd int
 }
 
 // Text returns the text of a token.
--- a/internal/sqltext/lexer_operator.go
+++ b/internal/sqltext/lexer_operator.go
@@ -6,6 +6,9 @@
 func (l *Lexer) scanOperator() Token {
 	src := l.Src
 	start := l.Pos
+	if start < l.signsEnd {
+		return l.scanSingle(Operator)
+	}
 	end := start
 	mayEndInSign := false
 	for end < len(src) && charClasses[src[end]]&charOperator != 0 {
@@ -18,6 +21,9 @@
 		}
 		end++
 	}
+	if !mayEndInSign {
+		l.signsEnd = end
+	}
 	for !mayEndInSign && end > start+1 && (src[end-1] == '+' || src[end-1] == '-') {
 		end--
 	}
