Parse the head of an HTTP request once, not again for each piece that arrives

A client that sends a long head and then its body in small pieces uses up the event loop.

Cause: requestReader.next parsed the whole request from its first byte whenever bytes arrived, and searched the end of the head from the start. The cost was the number of pieces times the size of the head.

Change: requestParser remembers up to where it has searched for the end of the head and, once the head is complete, the size of the request. It holds no part of the request, so a slow client costs no memory. A head is parsed twice at most.

--- a/internal/frontend/httpserver/parse.go
+++ b/internal/frontend/httpserver/parse.go
@@ -56,15 +56,24 @@
 	arrivedAt  time.Duration     // when its last byte was read, as of Loop.Now; set by requestReader
 }
 
-// parse reads the request at the start of the input and returns the size of the request, or 0 if it is incomplete.
-func parse(input []byte) (request httpRequest, size int, err *statusError) {
-	headSize := bytes.Index(input[:min(len(input), maxHead)], []byte(headEnd))
-	if headSize < 0 {
-		if len(input) >= maxHead {
-			return request, 0, headTooLarge()
-		}
+// requestParser parses the request at the start of an input that grows. It remembers what it has found out about an
+// incomplete request, so that the cost of a request that arrives in many pieces is linear in its size. Its zero value
+// expects a new request. It holds no part of the request, because hundreds of clients may send slowly.
+type requestParser struct {
+	searched int // bytes at the start of the input that do not contain the end of the head
+	size     int // bytes of the request; 0: unknown, since the head is incomplete
+}
+
+// parse parses the request and returns its size, or 0 while it is incomplete. The input must begin with the bytes of
+// the previous call, unless that call has returned a request or an error; then the parser must be reset.
+func (p *requestParser) parse(input []byte) (request httpRequest, size int, err *statusError) {
+	if len(input) < p.size {
 		return request, 0, nil
 	}
+	headSize, err := p.findHeadEnd(input)
+	if err != nil || headSize < 0 {
+		return request, 0, err
+	}
 	request, err = parseHead(input[:headSize])
 	if err != nil {
 		return request, 0, err
@@ -74,12 +83,27 @@
 		return request, 0, err
 	}
 	start := headSize + len(headEnd)
-	size = start + length
-	if len(input) < size {
+	p.size = start + length
+	if len(input) < p.size {
 		return request, 0, nil
 	}
-	request.body = input[start:size]
-	return request, size, nil
+	request.body = input[start:p.size]
+	return request, p.size, nil
+}
+
+// findHeadEnd returns the size of the head without the empty line at its end, or -1 if the head is incomplete.
+func (p *requestParser) findHeadEnd(input []byte) (headSize int, err *statusError) {
+	headInput := input[:min(len(input), maxHead)]
+	found := bytes.Index(headInput[p.searched:], []byte(headEnd))
+	if found >= 0 {
+		p.searched += found
+		return p.searched, nil
+	}
+	if len(input) >= maxHead {
+		return -1, headTooLarge()
+	}
+	p.searched = max(len(headInput)-len(headEnd)+1, 0) // the last bytes may be the start of headEnd
+	return -1, nil
 }
 
 // parseHead reads the request line and the header fields.
--- a/internal/frontend/httpserver/parse_test.go
+++ b/internal/frontend/httpserver/parse_test.go
@@ -8,6 +8,12 @@
 	"flaxrelay/internal/engine/lineclient"
 )
 
+// parse parses a request that has arrived in one piece.
+func parse(input []byte) (request httpRequest, size int, err *statusError) {
+	var parser requestParser
+	return parser.parse(input)
+}
+
 // A parsed request lies within the input, and bytes that are appended to the input do not change a complete request.
 func FuzzParse_RequestLiesWithinTheInput(f *testing.F) {
 	const statement = "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 2\r\n\r\nab"
--- a/internal/frontend/httpserver/reader.go
+++ b/internal/frontend/httpserver/reader.go
@@ -10,6 +10,7 @@
 	// eventloop.Conn.UnreadBytes must not be called then.
 	input       *eventloop.Buffer
 	requestSize int // bytes at the start of input that belong to the request being served
+	parser      requestParser
 }
 
 // begin sets the buffer to read from until end is called. OnData calls both.
@@ -24,7 +25,7 @@
 // called.
 func (r *requestReader) next() (request httpRequest, complete bool, err *statusError) {
 	input := r.input.Bytes()
-	request, size, err := parse(input)
+	request, size, err := r.parser.parse(input)
 	if err != nil || size == 0 {
 		return request, false, err
 	}
@@ -37,15 +38,16 @@
 }
 
 // consume drops the request that next returned.
-func (r *requestReader) consume() {
-	r.input.Consume(r.requestSize)
-	r.requestSize = 0
-}
+func (r *requestReader) consume() { r.drop(r.requestSize) }
 
 // discardAll drops all bytes of the buffer.
-func (r *requestReader) discardAll() {
-	r.input.Consume(r.input.Len())
+func (r *requestReader) discardAll() { r.drop(r.input.Len()) }
+
+// drop drops bytes at the start of the buffer. The parser then expects a new request.
+func (r *requestReader) drop(size int) {
+	r.input.Consume(size)
 	r.requestSize = 0
+	r.parser = requestParser{}
 }
 
 // canStartRequest reports whether the unread bytes can be the start of a request. It must be called while OnData
