Drop arrival times without moving those of the bytes behind

Cause: arrivalLog.forget moved the arrival times of all bytes behind a consumed request. A client that sends many pipelined requests slowly, each read with an arrival time of its own, made the cost quadratic in their number.

Change: the log keeps the rest in place; a log that becomes empty is reused.

--- a/internal/eventloop/arrivallog.go
+++ b/internal/eventloop/arrivallog.go
@@ -45,5 +45,9 @@
 	for forgotten < len(l.arrivals) && l.arrivals[forgotten].end <= position {
 		forgotten++
 	}
-	l.arrivals = append(l.arrivals[:0], l.arrivals[forgotten:]...)
+	if forgotten == len(l.arrivals) {
+		l.arrivals = l.arrivals[:0]
+		return
+	}
+	l.arrivals = l.arrivals[forgotten:] // moving the rest would cost as much as the rest is long, for each request
 }
--- a/internal/eventloop/buffer_test.go
+++ b/internal/eventloop/buffer_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 	"time"
+
+	"flaxrelay/internal/growthtest"
 )
 
 // Bytes that are appended and consumed in turn come out in order, and an empty buffer releases the memory of a large
@@ -54,3 +56,21 @@
 		t.Errorf("%d arrivals are recorded for an empty buffer", recorded)
 	}
 }
+
+// Guards against a client that sends its pipelined requests slowly: each request that was consumed moved the arrival times
+// of all bytes after it.
+func TestBuffer_ConsumingSlowBytesTakesLinearTime(t *testing.T) {
+	const reads = 4000
+	growthtest.CheckLinear(t, reads, func(reads int) func() {
+		var b Buffer
+		for n := range reads {
+			b.append([]byte("x"), time.Duration(n)*arrivalPrecision)
+		}
+		return func() {
+			for b.Len() > 0 {
+				b.ArrivedAt(1)
+				b.Consume(1)
+			}
+		}
+	})
+}
