Notify the dispatcher once of all endpoint changes that arrive together

The event loop stops while the event bus sends many changes at once, such as after an outage of it.

Change: the watcher collects the changes of the frames that were read together and passes them on in their order, before a full list and at the end of the read.

TestWatcher_ExchangeMatchesTheGoldenFile sent all frames and then awaited the notifications; whether frames are read together depended on time. It now awaits the notification after each frame that causes one, which is as strict.

--- a/internal/discovery/eventbus/golden_test.go
+++ b/internal/discovery/eventbus/golden_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"testing"
 
 	"flaxrelay/internal/discovery/discoverytest"
@@ -36,15 +37,15 @@
 // session is the script of one connection to the bus, with its expected effects.
 type session struct {
 	frames          [][]byte
-	updates         int  // number of notifications after the frames
-	closedByWatcher bool // false: closed by the bus
+	notifications   []int // indexes of the frames after which the watcher notifies the sink
+	closedByWatcher bool  // false: closed by the bus
 }
 
 // goldenIP is the address of the engines in the golden file.
 var goldenIP = [4]byte{10, 18, 74, 7}
 
 var sessions = []session{
-	{updates: 4, frames: [][]byte{
+	{notifications: []int{1, 3, 5, 6}, frames: [][]byte{
 		encodeFrame(41, frameHeartbeat),
 		encodeFrame(42, frameFull,
 			record{id: 0x00c41f7a, ip: goldenIP, port: 9090, cell: 2, weight: 4000}.encode(),
@@ -62,7 +63,7 @@
 			record{id: 1, ip: goldenIP, port: 80, zone: 7, kind: 9, startTime: 1 << 43}.encode()),
 		encodeFrame(1<<40+1, frameDelta),
 	}},
-	{updates: 1, frames: [][]byte{encodeFrame(1<<40+2, frameFull)}},
+	{notifications: []int{0}, frames: [][]byte{encodeFrame(1<<40+2, frameFull)}},
 	// The bus closes the connection inside a frame.
 	{frames: [][]byte{encodeFrame(1<<40+3, frameDelta, record{id: 1, ip: goldenIP, port: 80}.encode())[:30]}},
 	// A frame of an unknown kind.
@@ -76,7 +77,7 @@
 	// Frames whose lengths are below the minimum and above the maximum.
 	{closedByWatcher: true, frames: [][]byte{{0, 0, 0, 8, 0, 0, 0, 0, 0, 0, 0, 0}}},
 	{closedByWatcher: true, frames: [][]byte{{0x7f, 0, 0, 0}}},
-	{updates: 1, frames: [][]byte{
+	{notifications: []int{0}, frames: [][]byte{
 		encodeFrame(1<<40+3, frameDelta, record{
 			id: 1, ip: goldenIP, port: 80, state: 1, zone: 1, weight: 1, startTime: 5000,
 		}.encode()),
@@ -108,13 +109,13 @@
 	t.Helper()
 	conn, lastEvent := accept(t, listener)
 	fmt.Fprintf(log, "> %q\n", binary.BigEndian.AppendUint64(nil, lastEvent))
-	for _, sent := range s.frames {
+	for index, sent := range s.frames {
 		fmt.Fprintf(log, "< %q\n", sent)
 		_, err := conn.Write(sent)
 		discoverytest.Must(t, err)
-	}
-	for range s.updates {
-		log.WriteString(discoverytest.Receive(t, notifications, "notification"))
+		if slices.Contains(s.notifications, index) {
+			log.WriteString(discoverytest.Receive(t, notifications, "notification"))
+		}
 	}
 	if !s.closedByWatcher {
 		discoverytest.Must(t, conn.CloseWrite())
--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -15,6 +15,7 @@
 
 	"flaxrelay/internal/discovery"
 	"flaxrelay/internal/eventloop"
+	"flaxrelay/internal/lifecycle"
 	"flaxrelay/internal/logevent"
 	"flaxrelay/internal/metrics"
 	"flaxrelay/internal/timerqueue"
@@ -94,6 +95,9 @@
 	conn       *eventloop.Conn
 	retryTimer *timerqueue.Timer // starts the next dial
 	idleTimer  *timerqueue.Timer // closes a connection that receives nothing
+	// changes are the engines of the changes that were received together and that the sink has not been notified of; nil:
+	// there are none. Each notification takes the sink a time that grows with the fleet, however few engines have changed.
+	changes []lifecycle.Endpoint
 	// partialSince is the time of the loop's clock at which the first bytes of an incomplete frame were
 	// received; 0: no frame is incomplete.
 	partialSince time.Duration
@@ -225,24 +229,35 @@
 // OnData handles all complete frames of the input. It stops when the connection is closed, because of a
 // protocol error or because the sink calls MoveTo or Stop.
 func (w *Watcher) OnData(conn *eventloop.Conn, input *eventloop.Buffer) {
+	err := w.handleFrames(conn, input)
+	w.notifyOfChanges()
+	switch {
+	case conn != w.conn: // closed by the sink
+	case err != nil:
+		w.fail(err)
+	case input.Len() > 0:
+		w.onPartialFrame()
+	}
+}
+
+// handleFrames handles all complete frames of the input, up to the first one with a protocol error.
+func (w *Watcher) handleFrames(conn *eventloop.Conn, input *eventloop.Buffer) error {
 	for conn == w.conn {
 		received, err := parseFrame(input.Bytes())
 		if errors.Is(err, errFrameIncomplete) {
-			if input.Len() > 0 {
-				w.onPartialFrame()
-			}
-			return
+			return nil
 		}
 		w.partialSince = 0
-		if err == nil {
-			err = w.handleFrame(received)
-			input.Consume(received.size())
+		if err != nil {
+			return err
 		}
+		err = w.handleFrame(received)
+		input.Consume(received.size())
 		if err != nil {
-			w.fail(err)
-			return
+			return err
 		}
 	}
+	return nil
 }
 
 // onPartialFrame restarts the idle timer when a part of a frame arrives, because the bus is alive. It
@@ -270,19 +285,15 @@
 	w.retry(err)
 }
 
-// handleFrame notifies the sink of the event in a frame. It ignores an event that was processed before,
-// because the bus may repeat events after a reconnection.
+// handleFrame notifies the sink of the event in a frame, or adds it to the changes of which notifyOfChanges notifies the
+// sink. It ignores an event that was processed before, because the bus may repeat events after a reconnection.
 func (w *Watcher) handleFrame(received frame) error {
 	w.backoff.Reset()
 	w.restartIdleTimer()
-	var mode policy.UpdateMode
 	switch received.kind {
 	case frameHeartbeat:
 		return nil
-	case frameFull:
-		mode = policy.UpdateFull
-	case frameDelta:
-		mode = policy.UpdateDelta
+	case frameFull, frameDelta:
 	default:
 		return fmt.Errorf("%w %d", errUnknownFrameKind, received.kind)
 	}
@@ -295,6 +306,28 @@
 	}
 	w.lastEvent = received.event
 	w.counters.Increment(metrics.EventBusEvents)
-	w.sink.UpdateEndpoints(mode, engines)
+	if received.kind == frameDelta {
+		w.addChanges(engines)
+		return nil
+	}
+	w.notifyOfChanges()
+	w.sink.UpdateEndpoints(policy.UpdateFull, engines)
 	return nil
 }
+
+// addChanges adds the engines of a change, possibly none.
+func (w *Watcher) addChanges(engines []lifecycle.Endpoint) {
+	if w.changes == nil {
+		w.changes = engines
+		return
+	}
+	w.changes = append(w.changes, engines...)
+}
+
+// notifyOfChanges notifies the sink of the changes that have been received, in their order.
+func (w *Watcher) notifyOfChanges() {
+	if changes := w.changes; changes != nil {
+		w.changes = nil
+		w.sink.UpdateEndpoints(policy.UpdateDelta, changes)
+	}
+}
