--- a/internal/frontend/pgserver/bind.go
+++ b/internal/frontend/pgserver/bind.go
@@ -10,6 +10,8 @@
 	countSize  = 2 // the number of fields that follow
 	formatSize = 2 // the format code of a value
 	oidSize    = 4 // the object ID of a type
+
+	valueLengthSize = 4 // the length of a value
 )
 
 // nullLength is the length field of a null value.
@@ -28,6 +30,7 @@
 		return binds, nil, false
 	}
 	binds.Formats = formats
+	binds.Values = make([][]byte, 0, min(valueCount, len(reader.Unread)/valueLengthSize))
 	for range valueCount {
 		value, ok := readValue(reader)
 		if !ok {
