Parse the first line of an engine's response once, not for each piece

Cause: while a response was incomplete, parseResponse searched and split its first line again for each piece that arrived.

Change: responseParser remembers up to where it has searched and, once the line is complete, the size of the response.

--- a/internal/engine/lineclient/connection.go
+++ b/internal/engine/lineclient/connection.go
@@ -17,6 +17,7 @@
 	engine.Connection[*connection]
 
 	client    *Client
+	parser    responseParser
 	streams   map[string]*stream // by request id
 	abandoned abandonedIDs
 }
@@ -98,7 +99,7 @@
 // HandleMessage handles the first response of in. It ignores a response whose request has no
 // stream: the request was abandoned or has ended.
 func (c *connection) HandleMessage(in []byte) (size int, err error) {
-	parsed, size, err := parseResponse(in)
+	parsed, size, err := c.parser.parse(in)
 	if err != nil || size == 0 {
 		return 0, err
 	}
--- a/internal/engine/lineclient/framing.go
+++ b/internal/engine/lineclient/framing.go
@@ -36,10 +36,21 @@
 	errBody   = fmt.Errorf("%w: the body is not followed by CR LF", errMalformedResponse)
 )
 
-// parseResponse returns the first response of b and its size in bytes, or a size of 0 if
-// the response is incomplete.
-func parseResponse(b []byte) (parsed response, size int, err error) {
-	line, complete, err := firstLine(b)
+// responseParser parses the response at the start of an input that grows. It remembers what it has
+// found out about an incomplete response, so that the cost of a response that arrives in many
+// pieces is linear in its size. Its zero value expects a new response.
+type responseParser struct {
+	searched int // bytes at the start of the input that do not contain the end of the first line
+	size     int // bytes of the response; 0: unknown, since the first line is incomplete
+}
+
+// parse returns the first response of b and its size in bytes, or a size of 0 if the response is
+// incomplete. The parser then expects that b begins with the same bytes at the next call.
+func (p *responseParser) parse(b []byte) (parsed response, size int, err error) {
+	if len(b) < p.size {
+		return response{}, 0, nil
+	}
+	line, complete, err := p.firstLine(b)
 	if err != nil || !complete {
 		return response{}, 0, err
 	}
@@ -55,6 +66,7 @@
 	bodyEnd := bodyStart + int(bodyLength)
 	messageEnd := bodyEnd + len(lineEnd)
 	if len(b) < messageEnd {
+		p.size = messageEnd
 		return response{}, 0, nil
 	}
 	if string(b[bodyEnd:messageEnd]) != lineEnd {
@@ -66,19 +78,25 @@
 		fields:    fieldList(words[2]),
 		body:      b[bodyStart:bodyEnd],
 	}
+	*p = responseParser{}
 	return parsed, messageEnd, nil
 }
 
 // firstLine returns the first line of b without its CR LF, if the line is complete.
-func firstLine(b []byte) (line []byte, complete bool, err error) {
-	end := bytes.IndexByte(b[:min(len(b), maxLineBytes)], '\n')
-	switch {
-	case end < 0 && len(b) >= maxLineBytes:
-		return nil, false, errLine
-	case end < 0:
+func (p *responseParser) firstLine(b []byte) (line []byte, complete bool, err error) {
+	searchable := b[:min(len(b), maxLineBytes)]
+	found := bytes.IndexByte(searchable[p.searched:], '\n')
+	if found < 0 {
+		if len(b) >= maxLineBytes {
+			return nil, false, errLine
+		}
+		p.searched = len(searchable)
 		return nil, false, nil
-	case end == 0 || b[end-1] != '\r':
+	}
+	end := p.searched + found
+	if end == 0 || b[end-1] != '\r' {
 		return nil, false, errLine
 	}
+	p.searched = end
 	return b[:end-1], true, nil
 }
--- a/internal/engine/lineclient/framing_test.go
+++ b/internal/engine/lineclient/framing_test.go
@@ -6,6 +6,12 @@
 	"testing"
 )
 
+// parseResponse parses a response that has arrived in one piece.
+func parseResponse(b []byte) (parsed response, size int, err error) {
+	var parser responseParser
+	return parser.parse(b)
+}
+
 // FuzzParseResponse checks that a response lies within the bytes that an engine has sent, and
 // that every error wraps errMalformedResponse.
 func FuzzParseResponse(f *testing.F) {
