Write the id of a request only once on each engine connection

A response of the line protocol contains only the id. So a duplicate, a late response or a late page of the earlier request was taken for the response to the next request with this id on the connection.

Change: a connection remembers the ids of all requests that were written on it, for as long as it is open (usedIDs), and takes none of them again. If an id was used on an idle connection, the new connection replaces it: a client that repeats an id adds no connections. Counter: engine-connections.ids-exhausted.

Evidence: these fail without the change: TestEngineFault_LateDuplicateIsNotTheResponseToALaterRequest (got [["foreign","",""]]), TestEngineConnection_CarriesEachIDOnceAndIsReplacedInTime, TestEngineConnection_RepeatedIDsDoNotAddConnections, and the exchanges served-id and repeated-id.

TestAbandonedIDs_ExpireAndAreDropped tested that ids become free after 30 s, which was a part of the fault; TestUsedIDs_ForgetNoneAndBecomeFull and TestUsedIDs_MemoryIsBounded replace it. The exchange "evicted" is now "replaced-at-the-limit": the same steps replace the idle connection and evict none. Evictions are still tested by TestConnectionLimit_EvictsTheLongestIdleEngineConnection and in internal/engine.

--- a/internal/engine/lineclient/client.go
+++ b/internal/engine/lineclient/client.go
@@ -83,6 +83,7 @@
 	}
 	conn := c.findConnection(target, attempt.Request.ID)
 	if conn == nil {
+		retireReplaceable(target, attempt.Request.ID)
 		if !c.EnsureCapacity(c.MaxConnections) {
 			c.Dispatcher.EndAttempt(attempt, lifecycle.StatusNoDescriptor, lifecycle.AttemptReport{})
 			return
@@ -95,15 +96,26 @@
 // findConnection searches the connections to the engine for one that accepts a request with this
 // id. It returns nil if there is none.
 func (c *Client) findConnection(target *engine.Engine[*connection], id string) *connection {
-	now := c.Dispatcher.Now()
 	for _, conn := range target.Connections {
-		if conn.accepts(id, now) {
+		if conn.accepts(id) {
 			return conn
 		}
 	}
 	return nil
 }
 
+// retireReplaceable retires a connection to the engine that the new connection for a request with this id replaces, if
+// there is one. Otherwise a client that repeats an id would make the front end keep one more connection for each
+// repetition.
+func retireReplaceable(target *engine.Engine[*connection], id string) {
+	for _, conn := range target.Connections {
+		if conn.replaceable(id) {
+			conn.Retire()
+			return
+		}
+	}
+}
+
 // SetPriority changes the priority of an attempt whose request is written and has no result
 // yet. It does nothing in any other state.
 func (c *Client) SetPriority(attempt *lifecycle.Attempt, priority int) {
--- a/internal/engine/lineclient/connection.go
+++ b/internal/engine/lineclient/connection.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"flaxrelay/internal/engine"
 	"flaxrelay/internal/lifecycle"
@@ -16,25 +15,31 @@
 type connection struct {
 	engine.Connection[*connection]
 
-	client    *Client
-	parser    responseParser
-	streams   map[string]*stream // by request id
-	abandoned abandonedIDs
+	client  *Client
+	parser  responseParser
+	streams map[string]*stream // by request id
+	usedIDs usedIDs
 }
 
 // newConnection returns a new connection to the engine and starts its dial.
 func newConnection(client *Client, target *engine.Engine[*connection]) *connection {
-	c := &connection{client: client, streams: map[string]*stream{}, abandoned: newAbandonedIDs()}
+	c := &connection{client: client, streams: map[string]*stream{}, usedIDs: newUsedIDs()}
 	c.Dial(client.Client, target, c)
 	return c
 }
 
 // accepts reports whether an attempt of the request with this id may be put on the connection.
-func (c *connection) accepts(id string, now time.Duration) bool {
+func (c *connection) accepts(id string) bool {
 	if c.Retiring() || len(c.streams) >= c.client.maxStreams {
 		return false
 	}
-	return c.streams[id] == nil && !c.abandoned.has(id, now)
+	return c.streams[id] == nil && !c.usedIDs.has(id)
+}
+
+// replaceable reports whether the connection is open and idle, and can't take a request with this id only because it
+// has carried the id before.
+func (c *connection) replaceable(id string) bool {
+	return !c.Retiring() && c.Connected() && len(c.streams) == 0 && c.usedIDs.has(id)
 }
 
 // add puts an attempt on the connection. It writes the request if the connection is connected;
@@ -79,8 +84,14 @@
 // InFlight returns the number of attempts on the connection.
 func (c *connection) InFlight() int { return len(c.streams) }
 
-// markAbandoned prevents the use of the id on this connection for abandonedIDTTL.
-func (c *connection) markAbandoned(id string) { c.abandoned.add(id, c.client.Dispatcher.Now()) }
+// useID records that a request with this id is being written.
+func (c *connection) useID(id string) {
+	c.usedIDs.add(id)
+	if c.usedIDs.full() {
+		c.client.Counters.Increment(metrics.EngineConnectionsIDsExhausted)
+		c.StopAccepting()
+	}
+}
 
 // ResetStatus returns the status of attempts whose connection the engine has closed.
 func (c *connection) ResetStatus() lifecycle.AttemptStatus { return lifecycle.StatusConnectionReset }
@@ -97,7 +108,7 @@
 }
 
 // HandleMessage handles the first response of in. It ignores a response whose request has no
-// stream: the request was abandoned or has ended.
+// stream, because the request was abandoned or has ended.
 func (c *connection) HandleMessage(in []byte) (size int, err error) {
 	parsed, size, err := c.parser.parse(in)
 	if err != nil || size == 0 {
--- a/internal/engine/lineclient/golden_test.go
+++ b/internal/engine/lineclient/golden_test.go
@@ -253,7 +253,41 @@
 		x.RemoveEngineAndAwaitClose()
 		x.PrintConnections()
 	}},
-	"evicted": {maxConnections: 1, play: func(x exchange) {
+	// Guards against a duplicate of a response, or a late page, that is taken for the response to a later request with
+	// the same id: the id of a served request was free at once.
+	"served-id": {play: func(x exchange) {
+		x.respond(x.start(id, statement))
+		paged := x.start(otherID, statement)
+		x.respondFirstPage(paged)
+		x.write(otherID + " MORE batch=1 0\r\n\r\n")
+		x.readCommand() // the release
+		x.AwaitEnd(paged)
+		busy := x.start(nextID, statement)
+		x.write(id + emptyResult)     // a duplicate
+		x.write(otherID + firstOfTwo) // a duplicate
+		x.write(otherID + " MORE batch=1 0\r\n\r\n")
+		x.respond(busy)
+		x.respond(x.startOnNewConnection(id, statement))
+		x.respond(x.start(otherID, statement))
+		x.RemoveEngineAndAwaitClose()
+		x.PrintConnections()
+	}},
+	// Guards against a client that repeats an id and makes one more connection with each repetition: the new connection
+	// replaces an idle one that has carried the id.
+	"repeated-id": {play: func(x exchange) {
+		x.respond(x.start(id, statement))
+		for range 3 {
+			again := x.newAttempt(id, "SELECT 2")
+			x.Start(again)
+			x.AwaitClose()
+			x.Accept()
+			x.readCommand()
+			x.respond(again)
+		}
+		x.RemoveEngineAndAwaitClose()
+		x.PrintConnections()
+	}},
+	"replaced-at-the-limit": {maxConnections: 1, play: func(x exchange) {
 		x.Abandon(x.start(id, statement))
 		busy := x.start(otherID, "SELECT 2")
 		unconnected := x.newAttempt(id, statement) // the open connection is busy, and the id can't be used on it
@@ -262,7 +296,7 @@
 		x.respond(busy)
 		again := x.newAttempt(id, statement)
 		x.Start(again)
-		x.AwaitClose() // the idle connection is evicted
+		x.AwaitClose() // the idle connection is replaced
 		x.Accept()
 		x.readCommand()
 		x.respond(again)
--- a/internal/engine/lineclient/stream.go
+++ b/internal/engine/lineclient/stream.go
@@ -46,7 +46,6 @@
 	delete(c.streams, id)
 	// HandleClosed ends the streams one by one, so the connection may be closed already.
 	if s.Written() && c.Connected() {
-		c.markAbandoned(id)
 		switch {
 		case s.state == streamFetching:
 			c.Write(releaseCommand(id))
@@ -65,6 +64,7 @@
 		s.finish(lifecycle.StatusNotSent)
 		return
 	}
+	s.conn.useID(s.attempt.Request.ID) // before the write, which may fail after a part of the request has been sent
 	if !s.conn.Write(executeCommand(s.attempt, dispatcher.Now())) {
 		s.conn.StopAccepting()
 		s.finish(lifecycle.StatusNotSent)
@@ -78,13 +78,8 @@
 	c := s.conn
 	delete(c.streams, s.attempt.Request.ID)
 	c.MarkUsed()
-	switch {
-	case status == lifecycle.StatusServed:
+	if status == lifecycle.StatusServed {
 		s.report.Result = s.result.pages
-	case s.Written():
-		// The request may have another attempt. A duplicate of this response, or a late page, must
-		// not be taken for the response to that attempt.
-		c.markAbandoned(s.attempt.Request.ID)
 	}
 	c.client.Dispatcher.EndAttempt(s.attempt, status, s.report)
 	c.CloseIfRetiringAndIdle()
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -59,8 +59,10 @@
 		"Connections to engines that ended, established or not.")
 	EngineConnectionsEvicted = declare("engine-connections.evicted",
 		"Idle connections to engines closed to make a descriptor available.")
+	EngineConnectionsIDsExhausted = declare("engine-connections.ids-exhausted",
+		"Connections to engines that accept no more requests because they have remembered as many ids as they may.")
 	EngineConnectionsLateResponses = declare("engine-connections.late-responses",
-		"Responses to abandoned attempts; they are ignored.")
+		"Responses to requests that have ended or were abandoned; they are ignored.")
 	EngineConnectionsDuplicateResponses = declare("engine-connections.duplicate-responses",
 		"Duplicates of responses; they are ignored.")
 	EngineConnectionsCancelRequests = declare("engine-connections.cancel-requests",
