Write no PostgreSQL query while bytes of the engine are unread

Cause: the PostgreSQL protocol has no ids; responses are matched to queries by their order alone. A connection was free as soon as a ReadyForQuery had been handled. Bytes that had arrived behind it, such as a duplicate of the response, were taken for the response to the next query, if that was written in the same turn of the event loop or before the bytes were handled.

Change: connection.acceptsAttempt also requires that no received byte is unhandled. The query then gets another connection; the bytes on the idle one are a protocol error, which closes it.

Evidence: the exchanges duplicate-response and duplicate-response-unread time out without the change: the query is written on the old connection.

--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -90,6 +90,10 @@
 // does not receive all of b and does not run the request. The connection must be connected.
 func (c *Connection[P]) Write(b []byte) bool { return c.socket.Write(b) }
 
+// UnreadBytes returns the number of received bytes that HandleMessage has not handled. The connection must be
+// connected. It must not be called while the connection's HandleMessage runs.
+func (c *Connection[P]) UnreadBytes() int { return c.socket.UnreadBytes() }
+
 // MarkOpen records that the startup is complete.
 func (c *Connection[P]) MarkOpen() { c.state = StateOpen }
 
--- a/internal/engine/pgclient/client.go
+++ b/internal/engine/pgclient/client.go
@@ -93,11 +93,11 @@
 	conn.add(attempt)
 }
 
-// findIdle searches the connections to the engine for an idle one that accepts attempts. It returns
-// nil if there is none.
+// findIdle searches the connections to the engine for one that accepts an attempt. It returns nil if
+// there is none.
 func findIdle(target *engine.Engine[*connection]) *connection {
 	for _, conn := range target.Connections {
-		if !conn.Retiring() && conn.exchange.idle() {
+		if conn.acceptsAttempt() {
 			return conn
 		}
 	}
--- a/internal/engine/pgclient/connection.go
+++ b/internal/engine/pgclient/connection.go
@@ -21,6 +21,9 @@
 	cancelKey  []byte
 	statements preparedStatements
 	exchange   exchange
+
+	handling       bool // HandleMessage runs
+	unhandledBytes int  // the number of bytes after the message that HandleMessage handles
 }
 
 var _ engine.AttemptHandle = (*connection)(nil)
@@ -43,6 +46,21 @@
 	}
 }
 
+// acceptsAttempt reports whether an attempt may be put on the connection. Responses are matched to queries by their
+// order alone. Bytes that the engine has already sent, such as a duplicate of the previous response, would be taken for
+// the response to the next query.
+func (c *connection) acceptsAttempt() bool {
+	return !c.Retiring() && c.exchange.idle() && !c.hasUnhandledBytes()
+}
+
+// hasUnhandledBytes reports whether bytes of the engine have been received and not been handled.
+func (c *connection) hasUnhandledBytes() bool {
+	if c.handling {
+		return c.unhandledBytes > 0
+	}
+	return c.Connected() && c.UnreadBytes() > 0
+}
+
 // InFlight returns the number of attempts on the connection: 0 or 1.
 func (c *connection) InFlight() int {
 	if c.exchange.idle() {
--- a/internal/engine/pgclient/golden_test.go
+++ b/internal/engine/pgclient/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -140,6 +141,8 @@
 const (
 	shortTimeout = 50 * time.Millisecond
 	smallBudget  = 40 // bytes; less than three rows of these tests
+	// readDelay is longer than bytes take to reach the client's read buffer.
+	readDelay = 200 * time.Millisecond
 )
 
 // connectionScripts are the exchanges in which connections are dialed, retired and closed, by the
@@ -225,6 +228,44 @@
 		x.AwaitEnd(attempt)
 		x.PrintConnections()
 	}},
+	// Guards against a duplicate of a response that is taken for the response to the next query: responses are matched
+	// to queries by their order alone.
+	"duplicate-response": {play: func(x exchange) {
+		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
+		first := x.startOnIdle(lookupStatement)
+		next := x.newAttempt("lookup", lookupStatement)
+		x.Do(func() {
+			x.OnServed(func() { // the duplicate has been received and not been handled
+				x.OnServed(nil)
+				x.Client.Start(next)
+			})
+		})
+		x.Write(append(slices.Clone(reusedResponse), reusedResponse...)...)
+		x.AwaitEnd(first)
+		x.AwaitClose() // the duplicate arrives on an idle connection
+		x.acceptStartup()
+		x.readQuery()
+		x.respond(next, emptyResponse...)
+		x.RemoveEngineAndAwaitClose()
+		x.PrintConnections()
+	}},
+	// Guards against the same duplicate that is still to be passed to the client.
+	"duplicate-response-unread": {play: func(x exchange) {
+		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
+		next := x.newAttempt("lookup", lookupStatement)
+		x.BlockLoop(func() {
+			x.Write(emptyResponse...)
+			time.Sleep(readDelay)
+		}, func() { // the client has read the duplicate and not handled it
+			x.Client.Start(next)
+		})
+		x.AwaitClose()
+		x.acceptStartup()
+		x.readQuery()
+		x.respond(next, emptyResponse...)
+		x.RemoveEngineAndAwaitClose()
+		x.PrintConnections()
+	}},
 	"startup-timeout": {
 		connectTimeout: shortTimeout,
 		play: func(x exchange) {
--- a/internal/engine/pgclient/messages.go
+++ b/internal/engine/pgclient/messages.go
@@ -23,7 +23,11 @@
 	if size == 0 {
 		return 0, nil
 	}
-	return size, c.handle(message{kind: kind, body: body, raw: in[:size]})
+	c.handling = true
+	c.unhandledBytes = len(in) - size
+	err = c.handle(message{kind: kind, body: body, raw: in[:size]})
+	c.handling = false
+	return size, err
 }
 
 // handle handles one message.
