--- a/internal/discovery/eventbus/growth_test.go
+++ b/internal/discovery/eventbus/growth_test.go
@@ -30,9 +30,12 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	counters := metrics.New()
+	class := policy.Class{
+		Name: "lookup", LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, Threads: 1,
+	}
 	settings := policy.Settings{
 		Replicas: 1, Kinds: []policy.Kind{{Name: "k", Cores: 4}}, TimerGranularity: time.Millisecond,
-		Classes: []policy.Class{{Name: "lookup", LatencyObjective: time.Second, Deadline: time.Second, PriorityWeight: 1, Threads: 1}},
+		Classes: []policy.Class{class},
 	}
 	dispatcher, err := lifecycle.NewDispatcher(settings, 1, loop, loop.Timers, counters, log)
 	if err != nil {
@@ -56,11 +59,10 @@
 		input = input[received.size():]
 	}
 	watcher.notifyOfChanges()
-
 }
 
-// Guards against an event bus that stops the front end by many small changes: the limits of the whole fleet were computed
-// again for each of them.
+// Guards against an event bus that stops the front end by many small changes: the limits of the whole fleet were
+// computed again for each of them.
 func TestWatcher_ChangesTakeLinearTime(t *testing.T) {
 	const engines = 1600
 	for name, framesOf := range map[string]func(engines int) []byte{
--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -95,8 +95,9 @@
 	conn       *eventloop.Conn
 	retryTimer *timerqueue.Timer // starts the next dial
 	idleTimer  *timerqueue.Timer // closes a connection that receives nothing
-	// changes are the engines of the changes that were received together and that the sink has not been notified of; nil:
-	// there are none. Each notification takes the sink a time that grows with the fleet, however few engines have changed.
+	// changes are the engines of the changes that were received together and that the sink has not been notified of;
+	// nil: there are none. Each notification takes the sink a time that grows with the fleet, however few engines have
+	// changed.
 	changes []lifecycle.Endpoint
 	// partialSince is the time of the loop's clock at which the first bytes of an incomplete frame were
 	// received; 0: no frame is incomplete.
@@ -285,8 +286,8 @@
 	w.retry(err)
 }
 
-// handleFrame notifies the sink of the event in a frame, or adds it to the changes of which notifyOfChanges notifies the
-// sink. It ignores an event that was processed before, because the bus may repeat events after a reconnection.
+// handleFrame notifies the sink of the event in a frame, or adds it to the changes of which notifyOfChanges notifies
+// the sink. It ignores an event that was processed before, because the bus may repeat events after a reconnection.
 func (w *Watcher) handleFrame(received frame) error {
 	w.backoff.Reset()
 	w.restartIdleTimer()
--- a/internal/engine/lineclient/framing_growth_test.go
+++ b/internal/engine/lineclient/framing_growth_test.go
@@ -8,8 +8,8 @@
 	"flaxrelay/internal/growthtest"
 )
 
-// parseInPieces passes a response to a parser that sees one more byte at each call, and returns the size that the parser
-// reports at the end.
+// parseInPieces passes a response to a parser that sees one more byte at each call, and returns the size that the
+// parser reports at the end.
 func parseInPieces(response string) (size int) {
 	b := []byte(response)
 	var parser responseParser
@@ -22,8 +22,8 @@
 	return size
 }
 
-// Guards against an engine that stops the front end by sending a response in small pieces: the first line was searched and
-// parsed again for each of them.
+// Guards against an engine that stops the front end by sending a response in small pieces: the first line was searched
+// and parsed again for each of them.
 func TestResponseParser_ResponseInPiecesTakesLinearTime(t *testing.T) {
 	const (
 		lineSize = maxLineBytes / growthtest.Factor / 2
--- a/internal/eventloop/buffer_test.go
+++ b/internal/eventloop/buffer_test.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// Guards against a client that sends its pipelined requests slowly: each request that was consumed moved the arrival times
-// of all bytes after it.
+// Guards against a client that sends its pipelined requests slowly: each request that was consumed moved the arrival
+// times of all bytes after it.
 func TestBuffer_ConsumingSlowBytesTakesLinearTime(t *testing.T) {
 	const reads = 4000
 	growthtest.CheckLinear(t, reads, func(reads int) func() {
--- a/internal/frontend/httpserver/parse_growth_test.go
+++ b/internal/frontend/httpserver/parse_growth_test.go
@@ -24,11 +24,12 @@
 // headOf returns a head of some size bytes that announces a body of the given length.
 func headOf(size int, bodyLength string) string {
 	const field = "A:\r\n"
-	return "POST /rpc/lookup HTTP/1.1\r\nContent-Length: " + bodyLength + "\r\n" + strings.Repeat(field, size/len(field)) + "\r\n"
+	fields := strings.Repeat(field, size/len(field))
+	return "POST /rpc/lookup HTTP/1.1\r\nContent-Length: " + bodyLength + "\r\n" + fields + "\r\n"
 }
 
-// Guards against a client that stops the front end by sending its request in small pieces: the whole head was parsed again
-// for each of them.
+// Guards against a client that stops the front end by sending its request in small pieces: the whole head was parsed
+// again for each of them.
 func TestRequestParser_RequestInPiecesTakesLinearTime(t *testing.T) {
 	for name, requestOf := range map[string]func(size int) string{
 		"head": func(size int) string { return headOf(size, "1") + "x" },
--- a/internal/frontend/pgserver/growth_test.go
+++ b/internal/frontend/pgserver/growth_test.go
@@ -69,12 +69,14 @@
 	})
 }
 
-// Guards against a statement that stops the front end for all clients: the class, the effect and the settings of a statement
-// are read from its text.
+// Guards against a statement that stops the front end for all clients: the class, the effect and the settings of a
+// statement are read from its text.
 func TestStatement_TakesLinearTime(t *testing.T) {
 	server := newIdleServer(t)
 	for _, prefix := range []string{"", "SELECT ", "SET statement_timeout ", "/*", "insert into t values (1), "} {
-		for _, pattern := range []string{"+-", "=", " ", "; ", "SESSION ", "class=", ",", "key=$1 ", "'", "(1), ", "a", "/* */", "--\n"} {
+		for _, pattern := range []string{
+			"+-", "=", " ", "; ", "SESSION ", "class=", ",", "key=$1 ", "'", "(1), ", "a", "/* */", "--\n",
+		} {
 			t.Run(prefix+pattern, func(t *testing.T) { checkStatementIsLinear(t, server, prefix, pattern) })
 		}
 	}
@@ -97,18 +99,23 @@
 	unnamed := pgproto.CString("")
 	parse := message(pgproto.ClientParse, unnamed, pgproto.CString(""), noParameterTypes)
 	bind := message(pgproto.ClientBind, unnamed, unnamed, emptyBind)
+	execute := message(pgproto.ClientExecute, executeBody(""))
+	sync := message(pgproto.ClientSync)
 	server := newIdleServer(t)
 	for name, messages := range map[string][][]byte{
-		"Flush":              {message(pgproto.ClientFlush)},
-		"Sync":               {message(pgproto.ClientSync)},
-		"Parse":              {parse},
-		"Parse with a name":  {message(pgproto.ClientParse, name, pgproto.CString("SELECT 1"), noParameterTypes)},
-		"Bind":               {parse, bind},
-		"Execute":            {parse, bind, message(pgproto.ClientExecute, executeBody("")), message(pgproto.ClientSync)},
-		"Describe and Close": {parse, message(pgproto.ClientDescribe, describeBody('S', "")), message(pgproto.ClientClose, describeBody('S', ""))},
-		"empty Query":        {message(pgproto.ClientQuery, pgproto.CString(";"))},
-		"invalid Query":      {message(pgproto.ClientQuery, pgproto.CString("BEGIN"))},
-		"SET":                {message(pgproto.ClientQuery, pgproto.CString("SET statement_timeout = 5"))},
+		"Flush":             {message(pgproto.ClientFlush)},
+		"Sync":              {sync},
+		"Parse":             {parse},
+		"Parse with a name": {message(pgproto.ClientParse, name, pgproto.CString("SELECT 1"), noParameterTypes)},
+		"Bind":              {parse, bind},
+		"Execute":           {parse, bind, execute, sync},
+		"Describe and Close": {
+			parse, message(pgproto.ClientDescribe, describeBody('S', "")),
+			message(pgproto.ClientClose, describeBody('S', "")),
+		},
+		"empty Query":   {message(pgproto.ClientQuery, pgproto.CString(";"))},
+		"invalid Query": {message(pgproto.ClientQuery, pgproto.CString("BEGIN"))},
+		"SET":           {message(pgproto.ClientQuery, pgproto.CString("SET statement_timeout = 5"))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			const size = 8 << 10
--- a/internal/growthtest/growthtest.go
+++ b/internal/growthtest/growthtest.go
@@ -14,8 +14,8 @@
 const (
 	// Factor is the ratio of the two sizes that are compared.
 	Factor = 8
-	// maxGrowth is the largest accepted ratio of the two times. A linear cost grows by Factor and a quadratic one by its
-	// square; the rest is for caches, the garbage collector and the growth of buffers.
+	// maxGrowth is the largest accepted ratio of the two times. A linear cost grows by Factor and a quadratic one by
+	// its square; the rest is for caches, the garbage collector and the growth of buffers.
 	maxGrowth = 3 * Factor
 	// negligible is the time up to which the larger input is accepted whatever the ratio is.
 	negligible = 500 * time.Microsecond
@@ -32,8 +32,8 @@
 // Linear reports whether the times show that the cost grows no faster than the size.
 func (t Times) Linear() bool { return t.Large <= negligible || t.Large <= maxGrowth*t.Small }
 
-// Measure measures run for an input of the given size and of Factor times that size. The function prepare makes the input
-// and is not measured. Only the processor time of run's own thread counts, so that other processes do not matter.
+// Measure measures run for an input of the given size and of Factor times that size. The function prepare makes the
+// input and is not measured. Only the processor time of run's own thread counts, so that other processes do not matter.
 func Measure(size int, prepare func(size int) (run func())) Times {
 	return Times{Small: shortest(size, prepare), Large: shortest(Factor*size, prepare)}
 }
--- a/internal/sqltext/growth_test.go
+++ b/internal/sqltext/growth_test.go
@@ -21,7 +21,7 @@
 	FirstWord(stmt)
 	SkipComments(stmt)
 	HasTokenPrefix(stmt, "SELECT a FROM b")
-	LeadingComment(stmt)
+	_, _ = LeadingComment(stmt)
 }
 
 // checkAnalysisIsLinear checks that the analysis of such texts takes a time that is linear in their length.
@@ -37,8 +37,8 @@
 	}
 }
 
-// Guards against a statement of operator characters that stops the front end for all clients: the rest of a run of + and
-// - was scanned again for each of them.
+// Guards against a statement of operator characters that stops the front end for all clients: the rest of a run of +
+// and - was scanned again for each of them.
 func TestLexer_RunOfSignsTakesLinearTime(t *testing.T) {
 	for _, pattern := range []string{"+", "+-", "*+", "+*", "+-+", "-+ ", "<+", "@+"} {
 		checkAnalysisIsLinear(t, "", pattern)
@@ -73,18 +73,27 @@
 }
 
 // growthPrefixes begin the texts of TestAnalysis_TakesLinearTime.
-var growthPrefixes = []string{"", "SELECT ", "SELECT a FROM t WHERE b IN (1, ", "INSERT INTO t VALUES (1, 2), ", "WITH "}
+var growthPrefixes = []string{
+	"", "SELECT ", "SELECT a FROM t WHERE b IN (1, ", "INSERT INTO t VALUES (1, 2), ", "WITH ",
+}
 
 // growthPatterns are repeated in the texts of TestAnalysis_TakesLinearTime. Each is the unit of a loop of the analysis.
 var growthPatterns = []string{
 	"a", "a ", "aB", "a_1.", "a.b ", "\"q\"", "\"", "''", "' ", "'a' ", "'\n' ", "'--\n", "E'\\", "E'\\' ", "U&'", "N'",
 	"$", "$a", "$a$", "$$", "$1", "$1 ", "$1 IS ", "1", "1 ", "1.", ".", "..", "1e+", "0x", "1_", "é", "\x00", "\xff",
-	"(", ")", "()", ")(", "[", "]", "[1", ",", ", ", "1,", "1, ", "(1,2),", "(1,", "((1),2),", "(-1),", ":", "::", ":=", ";",
-	"-", "--", "--\n", "- ", "-1 ", "/", "/*", "/**/", "*/", "/* */ ", "/*/", "=", "<", "<>", "<=1 ", "!", "@", "%", "?", "#",
-	"count ", "count(", "count /**/", "sum /* ", "IN (", "IN (1, ", "ARRAY[", "ARRAY[1,", "ANY(", "VALUES (1),", "VALUES ",
-	"WITH ", "WITH a AS (", "a AS (SELECT 1), ", "SELECT ", "SELECT 1 UNION ", "FROM a_1.b, ", "a_1.b,", "JOIN a USING (b) ",
-	"BETWEEN 1 AND ", "b = 1 AND ", "LIKE 'a%' OR ", "interval '1 day' + ", "FETCH FIRST ", "DISTINCT ON (", "FOR UPDATE ",
-	"EXPLAIN ", "EXPLAIN (ANALYZE ", "f(", "f(1),", "s.f(", "\"f\"(", "coalesce($1,", "a OPERATOR(x.+) ", "\n", "\t", "\r",
+	"(", ")", "()", ")(", "[", "]", "[1", ",", ", ", "1,", "1, ", "(1,2),", "(1,", "((1),2),", "(-1),", ":", "::", ":=",
+	";",
+	"-", "--", "--\n", "- ", "-1 ", "/", "/*", "/**/", "*/", "/* */ ", "/*/", "=", "<", "<>", "<=1 ", "!",
+	"@", "%", "?",
+	"#",
+	"count ", "count(", "count /**/", "sum /* ", "IN (", "IN (1, ", "ARRAY[", "ARRAY[1,", "ANY(",
+	"VALUES (1),", "VALUES ",
+	"WITH ", "WITH a AS (", "a AS (SELECT 1), ", "SELECT ", "SELECT 1 UNION ", "FROM a_1.b, ", "a_1.b,",
+	"JOIN a USING (b) ",
+	"BETWEEN 1 AND ", "b = 1 AND ", "LIKE 'a%' OR ", "interval '1 day' + ", "FETCH FIRST ", "DISTINCT ON (",
+	"FOR UPDATE ",
+	"EXPLAIN ", "EXPLAIN (ANALYZE ", "f(", "f(1),", "s.f(", "\"f\"(", "coalesce($1,", "a OPERATOR(x.+) ",
+	"\n", "\t", "\r",
 }
 
 // Guards against any text of a client that stops the front end for all others: each loop of the analysis is tried.
