End the list after WITH at a main statement in parentheses

After WITH x AS (..), a main statement in parentheses has no such word there.

Change: in the list, a parenthesis belongs to a name, to AS or to MATERIALIZED. Any other one begins the main statement and ends the list. afterName now holds only directly after the name.

Related paths that were read: names after a comma in SEARCH and CYCLE, nested WITH, aliases with columns (inAlias), DISTINCT ON; none of them hides a call in a valid statement.

--- a/internal/sqltext/effect_classifier.go
+++ b/internal/sqltext/effect_classifier.go
@@ -77,6 +77,7 @@
 		c.addIdentifier(lexer, t, word, class)
 	case LeftParen:
 		c.classifyLeftParen(lexer)
+		c.ctes.beginParen(c.depth, c.previousKeyword)
 		c.depth++
 		c.ctes.enterParen(c.depth)
 	case RightParen:
@@ -89,6 +90,9 @@
 		}
 	default: // other tokens do not change the verdict
 	}
+	if t.Kind != Identifier && t.Kind != QuotedIdentifier {
+		c.ctes.afterName = false
+	}
 	c.setPrevious(t, word, class, schema)
 }
 
--- a/internal/sqltext/effect_cte.go
+++ b/internal/sqltext/effect_cte.go
@@ -22,6 +22,18 @@
 	return 1 << depth
 }
 
+// beginParen handles an opening parenthesis. depth is the depth outside it, and previous is the key word before it. In
+// the list after WITH, a parenthesis contains the columns after a name, or the statement after AS or MATERIALIZED. Any
+// other parenthesis there begins the main statement, which ends the list.
+func (c *cteTracker) beginParen(depth int, previous keyword) {
+	if c.afterName || previous == keywordAs || previous == keywordMaterialized {
+		return
+	}
+	bit := depthBit(depth)
+	c.lists &^= bit
+	c.nameExpected &^= bit
+}
+
 // enterParen handles an opening parenthesis. depth is the depth inside it.
 func (c *cteTracker) enterParen(depth int) {
 	bit := depthBit(depth)
