Make the path of a buffered result unguessable

Cause: the path of a result was the start time of the process and a sequence number. A client that knew the path of its own result could name, fetch and delete the results of other clients.

Change: each path contains a random number of 64 bits. It also tells the paths of an earlier process apart, which the start time did before.

Evidence: TestResultStore_PathsDoNotFollowFromEachOther fails without it, since all paths have the same start. The exchanges of the golden files are unchanged: they leave out this part of the path.

--- a/internal/frontend/httpserver/results.go
+++ b/internal/frontend/httpserver/results.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"crypto/rand"
 	"fmt"
 	"strconv"
 	"strings"
@@ -17,17 +18,18 @@
 	maxPageSize = 64 << 10
 	// resultGracePeriod is how long a result can be fetched after the deadline of its request.
 	resultGracePeriod = time.Second
+	// resultSecretSize is the size in bytes of the random number in the path of a result.
+	resultSecretSize = 8
 )
 
 // resultStore buffers results of more than one page for their clients to fetch. All pages stay buffered until
 // resultGracePeriod after the deadline of the request, or until the client releases the result: a client whose
 // connection broke may request a page again. The store must be used from the goroutine of the event loop only.
 type resultStore struct {
-	timers     *timerqueue.Queue
-	instanceID string // distinguishes the paths of this process from those of an earlier one
-	sequence   uint64 // number of the latest result, as in its path
-	byPath     map[string]*bufferedResult
-	budget     memorybudget.Budget
+	timers   *timerqueue.Queue
+	sequence uint64 // number of the latest result, as in its path
+	byPath   map[string]*bufferedResult
+	budget   memorybudget.Budget
 }
 
 // bufferedResult is a result that its client fetches page by page.
@@ -37,12 +39,11 @@
 	lastPageServed bool // the last page was served at least once
 }
 
-func newResultStore(timers *timerqueue.Queue, instanceID string, maxBytes int) *resultStore {
+func newResultStore(timers *timerqueue.Queue, maxBytes int) *resultStore {
 	return &resultStore{
-		timers:     timers,
-		instanceID: instanceID,
-		byPath:     map[string]*bufferedResult{},
-		budget:     memorybudget.New(maxBytes),
+		timers: timers,
+		byPath: map[string]*bufferedResult{},
+		budget: memorybudget.New(maxBytes),
 	}
 }
 
@@ -69,12 +70,20 @@
 	if !s.budget.TryReserve(size) {
 		return "", false
 	}
-	s.sequence++
-	path = fmt.Sprintf("%s%s-%d", resultsPrefix, s.instanceID, s.sequence)
+	path = s.newPath()
 	s.byPath[path] = &bufferedResult{pages: pages, size: size}
 	return path, true
 }
 
+// newPath returns the path of a new result. It contains a random number, so that no client can name the result of
+// another one, and so that no path of an earlier process is used again.
+func (s *resultStore) newPath() string {
+	var secret [resultSecretSize]byte
+	_, _ = rand.Read(secret[:]) // never returns an error
+	s.sequence++
+	return fmt.Sprintf("%s%x-%d", resultsPrefix, secret, s.sequence)
+}
+
 // release drops a result and reports whether it was buffered.
 func (s *resultStore) release(path string) bool {
 	result := s.byPath[path]
--- a/internal/frontend/httpserver/results_test.go
+++ b/internal/frontend/httpserver/results_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"flaxrelay/internal/engine/lineclient"
@@ -40,7 +41,7 @@
 }
 
 func TestResultStore_ServesPagesUntilReleased(t *testing.T) {
-	store := newResultStore(timerqueue.New(), "start", 10)
+	store := newResultStore(timerqueue.New(), 10)
 	pages := []lineclient.Rows{{[]byte("a")}, {[]byte("b")}, {[]byte("c")}}
 	path, ok := store.add(pages, 10)
 	if !ok {
@@ -67,3 +68,25 @@
 		t.Error("the bytes of a released result stay reserved")
 	}
 }
+
+// Guards against a client that gets the rows of another client's request: the path of a result must not follow from the
+// path of another one.
+func TestResultStore_PathsDoNotFollowFromEachOther(t *testing.T) {
+	const results = 100
+	store := newResultStore(timerqueue.New(), results)
+	pages := []lineclient.Rows{{[]byte("a")}, {[]byte("b")}}
+	secrets := map[string]bool{}
+	for number := range results {
+		path, ok := store.add(pages, 1)
+		secret, suffix, _ := strings.Cut(strings.TrimPrefix(path, resultsPrefix), "-")
+		if !ok || secrets[secret] || len(secret) != 2*resultSecretSize {
+			t.Fatalf("path %q, %v", path, ok)
+		}
+		for earlier := range secrets {
+			if _, _, found := store.page(resultsPrefix + earlier + "-" + suffix + "/1"); found {
+				t.Fatalf("result %d has another path with the secret %s", number, earlier)
+			}
+		}
+		secrets[secret] = true
+	}
+}
--- a/internal/frontend/httpserver/server.go
+++ b/internal/frontend/httpserver/server.go
@@ -11,7 +11,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 
 	"flaxrelay/internal/eventloop"
@@ -76,8 +75,6 @@
 // New returns a server that passes its requests to the dispatcher.
 func New(loop *eventloop.Loop, dispatcher *lifecycle.Dispatcher, options Options, counters *metrics.Counters) *Server {
 	options = options.withDefaults()
-	const instanceIDBase = 36
-	instanceID := strconv.FormatInt(int64(dispatcher.Now()), instanceIDBase)
 	connections := map[*connection]struct{}{}
 	return &Server{
 		loop:        loop,
@@ -89,7 +86,7 @@
 			loop: loop, counters: counters, connections: connections, maxClients: options.MaxClients,
 		},
 		requests: newRequestBuilder(dispatcher, options.Estimator),
-		results:  newResultStore(loop.Timers, instanceID, options.MaxBufferedBytes),
+		results:  newResultStore(loop.Timers, options.MaxBufferedBytes),
 	}
 }
 
