Let a client of the soak repeat the ids of the others' open requests

Now one more client, the repeater, sends the id of an open request with a statement of its own until the id is accepted, and compares the rows with that statement. Duplicates come 5 ms late.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -105,12 +105,12 @@
 	id := fmt.Sprintf("%04x%04x%08x", c.run.options.Seed&seedMask, c.number, c.sent)
 	class := classes[c.random.IntN(len(classes))]
 	wait := time.Duration(minWaitMS+c.random.IntN(waitRangeMS)) * time.Millisecond
-	return &request{id: id, class: class, wait: wait}, requestText(id, class, wait)
+	statement := "SELECT day FROM sales_17.orders WHERE tag = '" + id + "'"
+	return &request{id: id, class: class, wait: wait}, requestText(id, class, statement, wait)
 }
 
 // requestText returns the text of an HTTP request. Only a load has an idempotency key.
-func requestText(id, class string, wait time.Duration) string {
-	statement := "SELECT day FROM sales_17.orders WHERE tag = '" + id + "'"
+func requestText(id, class, statement string, wait time.Duration) string {
 	idempotencyKey := ""
 	if class == classLoad {
 		idempotencyKey = "Req-Token: " + id + "\r\n"
@@ -147,6 +147,7 @@
 		c.disconnect()
 		return errNotSent
 	}
+	c.run.announce(sentRequest{id: req.id, frontEnd: c.target})
 	if c.random.IntN(disconnectOneIn) == 0 {
 		c.disconnectEarly(req)
 		return nil
--- a/internal/lab/soak/doc.go
+++ b/internal/lab/soak/doc.go
@@ -9,6 +9,8 @@
 // front ends, drained, restarted and frozen engines, stepped clocks, failing system calls and disks, and a
 // bus that moves, is down or silent, or truncates events. Faults overlap in time.
 //
+// One more client repeats the ids of the others' open requests; its requests are not part of the history.
+//
 // Clients, engine processes and the fault injector record a history: each request with its
 // outcome, each attempt as it begins and ends at an engine, and each change that the bus
 // publishes. The checker reads the history after the run and applies most of the rules to it. Clients check
--- a/internal/lab/soak/engineprocess.go
+++ b/internal/lab/soak/engineprocess.go
@@ -125,6 +125,9 @@
 
 // Received implements fake.LineHandler.
 func (e *engineProcess) Received(request fake.LineRequest) {
+	if request.Statement == repeatStatement {
+		return
+	}
 	// A front end always sends both fields. A missing field is reported as its zero value.
 	remainingMS, _ := strconv.Atoi(request.Field("ms"))
 	e.report(engineEvent{
@@ -135,6 +138,9 @@
 
 // Cancelled implements fake.LineHandler.
 func (e *engineProcess) Cancelled(request fake.LineRequest) {
+	if request.Statement == repeatStatement {
+		return
+	}
 	e.report(engineEvent{Kind: eventAttemptCancelled, RequestID: request.ID})
 }
 
@@ -168,6 +174,9 @@
 	duplicateResult
 )
 
+// duplicateDelay is the time from a result to its duplicate.
+const duplicateDelay = 5 * time.Millisecond
+
 // faultyBehaviors are the behaviors from which a faulty response is drawn, each in proportion to its weight.
 var faultyBehaviors = []struct {
 	behavior responseBehavior
@@ -193,6 +202,10 @@
 func (e *engineProcess) Handle(ctx context.Context, exchange *fake.LineExchange) {
 	const minWorkFactor = 0.5 // the work time is uniform from 0.5 to 1.5 times the mean
 	request := exchange.Request
+	if request.Statement == repeatStatement {
+		handleRepeated(ctx, exchange)
+		return
+	}
 	workTime := time.Duration((minWorkFactor + e.randomFloat()) * float64(workTimes[request.Field("kind")]))
 	behavior := behaviorFor(e.randomFloat(), e.faultyResponseShare)
 	if behavior == rejectAtOnce {
@@ -215,12 +228,25 @@
 	case neverRespond:
 	case duplicateResult:
 		e.respond(exchange, responseServed, workTime, result)
+		time.Sleep(duplicateDelay)
 		exchange.Send(result)
 	case respondNormally, rejectAtOnce: // a rejection was sent above
 		e.respond(exchange, responseServed, workTime, result)
 	}
 }
 
+// handleRepeated responds to a request of a repeater.
+func handleRepeated(ctx context.Context, exchange *fake.LineExchange) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(repeatWorkTime):
+	}
+	if exchange.Finish(func() {}) {
+		exchange.Send(fake.LineMessage(exchange.Request.ID, fake.MessageResult, "batches=1,cpu=1,used=1", repeatRow))
+	}
+}
+
 // resultMessage returns the first page of a result with the request's cost and the engine's load report.
 func resultMessage(requestID string, workTime time.Duration) string {
 	milliseconds := float64(workTime) / float64(time.Millisecond)
--- a/internal/lab/soak/result.go
+++ b/internal/lab/soak/result.go
@@ -18,6 +18,7 @@
 	Attempts  int
 	Faults    map[string]int            // number of scheduled faults by kind, including faults without a target
 	Injected  map[syscallfault.Kind]int // number of injected faults of system calls, by kind
+	Repeated  int                       // number of served requests whose id was that of an earlier request
 	// ProcessorWait is how long processes waited for a processor in total. Short waits, which occur on an idle machine
 	// too, do not count. The checker allows for the waits that count.
 	ProcessorWait time.Duration
@@ -27,8 +28,8 @@
 // String describes the result: its counts, and one line for each violation.
 func (r *Result) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d: %d attempts; %s; %s; %s; processor wait %v; %d violations\n", r.Seed, r.Attempts,
-		formatCounts(r.Outcomes), formatCounts(r.Faults), formatCounts(r.Injected),
+	fmt.Fprintf(&text, "seed %d: %d attempts; %s; %s; %s; %d repeated ids; processor wait %v; %d violations\n",
+		r.Seed, r.Attempts, formatCounts(r.Outcomes), formatCounts(r.Faults), formatCounts(r.Injected), r.Repeated,
 		r.ProcessorWait.Round(time.Millisecond), len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(&text, "  %s\n", v)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -53,6 +53,9 @@
 	frontEndPool *pool[*frontEnd]
 	enginePool   *pool[*engine]
 
+	sentRequests chan sentRequest // from the clients to the repeater
+	repeater     repeater
+
 	faults  sync.WaitGroup // counts the faults in progress
 	busMove sync.Mutex     // serializes moves of the bus, which write all configurations
 
@@ -67,11 +70,14 @@
 	const maxFaultyResponseShare = 0.08
 	random := rand.New(rand.NewPCG(options.Seed, options.Seed))
 	settings := drawRunSettings(random)
-	return &run{
+	r := &run{
 		options: options, settings: settings, faultyResponseShare: maxFaultyResponseShare * random.Float64(),
 		history: newHistory(), startedAt: time.Now(), random: random, faultCounts: map[string]int{},
 		frontEndPool: newPool[*frontEnd](frontEndReserveDivisor), enginePool: newPool[*engine](engineReserveDivisor),
+		sentRequests: make(chan sentRequest),
 	}
+	r.repeater.run = r
+	return r
 }
 
 // Run runs the workload while it injects the faults of the seed, and then checks the history.
@@ -161,6 +167,7 @@
 		c := &client{run: r, number: i, random: random}
 		clients.Go(func() { c.sendRequests(stopClients) })
 	}
+	clients.Go(func() { r.repeater.repeatRequests(stopClients) })
 	schedule := rand.New(rand.NewPCG(r.options.Seed, scheduleStream))
 	injector.Go(func() { r.injectFaults(schedule, stopFaults) })
 	time.Sleep(r.options.Duration)
@@ -202,6 +209,7 @@
 		Attempts:      r.history.attemptCount(),
 		Faults:        r.faultCounts,
 		Injected:      r.injectedCounts(),
+		Repeated:      r.repeater.served,
 		ProcessorWait: r.history.processorWaitSum(),
 		Violations:    r.history.check(readyTimes),
 	}
