Replace an engine connection only where a client repeats an id

A retry at the same engine can't use a connection that has carried its id.

Change: Client.limitRepetitions retires an idle connection only if as many connections to the engine have carried the id as a request may have attempts.

--- a/internal/engine/lineclient/client.go
+++ b/internal/engine/lineclient/client.go
@@ -42,8 +42,9 @@
 	// new one is dialed. MaxConnections must be set before the first Start.
 	MaxConnections int
 
-	maxStreams int  // limit of the attempts in flight on one connection
-	sendCancel bool // the settings permit the cancellation of running requests
+	maxStreams  int  // limit of the attempts in flight on one connection
+	maxAttempts int  // limit of the attempts of one request
+	sendCancel  bool // the settings permit the cancellation of running requests
 }
 
 // New returns a client that reports to the dispatcher.
@@ -68,9 +69,10 @@
 		AbortOnProtocolError: true,
 	}
 	return &Client{
-		Client:     engine.NewClient[*connection](loop, dispatcher, options, counters, log),
-		maxStreams: max(settings.MaxStreams, 1),
-		sendCancel: settings.Policy.Limits.Cancel,
+		Client:      engine.NewClient[*connection](loop, dispatcher, options, counters, log),
+		maxStreams:  max(settings.MaxStreams, 1),
+		maxAttempts: max(settings.Policy.Limits.MaxAttempts, 1),
+		sendCancel:  settings.Policy.Limits.Cancel,
 	}
 }
 
@@ -83,7 +85,7 @@
 	}
 	conn := c.findConnection(target, attempt.Request.ID)
 	if conn == nil {
-		retireReplaceable(target, attempt.Request.ID)
+		c.limitRepetitions(target, attempt.Request.ID)
 		if !c.EnsureCapacity(c.MaxConnections) {
 			c.Dispatcher.EndAttempt(attempt, lifecycle.StatusNoDescriptor, lifecycle.AttemptReport{})
 			return
@@ -104,16 +106,24 @@
 	return nil
 }
 
-// retireReplaceable retires a connection to the engine that the new connection for a request with this id replaces, if
-// there is one. Otherwise a client that repeats an id would make the front end keep one more connection for each
-// repetition.
-func retireReplaceable(target *engine.Engine[*connection], id string) {
+// limitRepetitions retires an idle connection that has carried a request with this id, if as many connections to the
+// engine have carried one as a request may have attempts. A retry at the same engine stays below that. Without the
+// limit, a client that repeats an id would make the front end keep one more connection for each repetition.
+func (c *Client) limitRepetitions(target *engine.Engine[*connection], id string) {
+	carried := 0
+	var idle *connection
 	for _, conn := range target.Connections {
-		if conn.replaceable(id) {
-			conn.Retire()
-			return
+		if conn.Retiring() || !conn.usedIDs.has(id) {
+			continue
+		}
+		carried++
+		if conn.Connected() && conn.InFlight() == 0 {
+			idle = conn
 		}
 	}
+	if carried >= c.maxAttempts && idle != nil {
+		idle.Retire()
+	}
 }
 
 // SetPriority changes the priority of an attempt whose request is written and has no result
--- a/internal/engine/lineclient/connection.go
+++ b/internal/engine/lineclient/connection.go
@@ -36,12 +36,6 @@
 	return c.streams[id] == nil && !c.usedIDs.has(id)
 }
 
-// replaceable reports whether the connection is open and idle, and can't take a request with this id only because it
-// has carried the id before.
-func (c *connection) replaceable(id string) bool {
-	return !c.Retiring() && c.Connected() && len(c.streams) == 0 && c.usedIDs.has(id)
-}
-
 // add puts an attempt on the connection. It writes the request if the connection is connected;
 // otherwise HandleConnected does.
 func (c *connection) add(attempt *lifecycle.Attempt) {
