Accept that a partly parsed response or request loses its bytes

Cause: while the read buffers of all connections exceed their budget, the event loop drops the bytes of a connection and closes it. A delivery that was posted before then calls the parser with an empty input. The parsers remember up to where they have searched, and indexed the empty input there: a panic, which ends the front end.

Change: an input that is shorter than what was searched is incomplete.

--- a/internal/engine/lineclient/framing.go
+++ b/internal/engine/lineclient/framing.go
@@ -45,9 +45,10 @@
 }
 
 // parse returns the first response of b and its size in bytes, or a size of 0 if the response is
-// incomplete. The parser then expects that b begins with the same bytes at the next call.
+// incomplete. The parser then expects that b begins with the same bytes at the next call, or that b is
+// empty: a connection that is closed because the read buffers are full loses its bytes.
 func (p *responseParser) parse(b []byte) (parsed response, size int, err error) {
-	if len(b) < p.size {
+	if len(b) < max(p.size, p.searched) {
 		return response{}, 0, nil
 	}
 	line, complete, err := p.firstLine(b)
--- a/internal/engine/lineclient/framing_growth_test.go
+++ b/internal/engine/lineclient/framing_growth_test.go
@@ -71,6 +71,13 @@
 		}
 	}
 	var parser responseParser
+	if _, size, err := parser.parse([]byte("9b1f DONE")); size != 0 || err != nil {
+		t.Fatalf("size %d, %v", size, err)
+	}
+	if _, size, err := parser.parse(nil); size != 0 || err != nil { // the bytes were dropped
+		t.Fatalf("size %d, %v", size, err)
+	}
+	parser = responseParser{}
 	b := []byte("9b1f DONE - 1\r\nx\r\n77 WAIT - 0\r\n\r\n")
 	for _, want := range []string{"9b1f", "77"} {
 		parsed, size, err := parser.parse(b)
--- a/internal/frontend/httpserver/parse_growth_test.go
+++ b/internal/frontend/httpserver/parse_growth_test.go
@@ -73,6 +73,9 @@
 				t.Fatalf("%q: size %d, %v after %d bytes", request, size, err, end)
 			}
 		}
+		if _, size, err := parser.parse(nil); size != 0 || err != nil { // the bytes were dropped
+			t.Fatalf("%q: size %d, %v without bytes", request, size, err)
+		}
 		got, size, err := parser.parse([]byte(request + "GET /"))
 		if err != nil || size != len(request) || got.path != whole.path || string(got.body) != string(whole.body) {
 			t.Errorf("%q: size %d, path %s, body %q, %v", request, size, got.path, got.body, err)
