--- a/review/kit-2/lines.go
+++ b/review/kit-2/lines.go
@@ -64,6 +64,16 @@
 	return l.Addr().String(), nil
 }
 
+// die ends the engine's process: its listener is gone, and its connections are reset.
+func (e *lineEngine) die() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		reset(c.Conn)
+	}
+}
+
 func (e *lineEngine) read(c *lineConn) {
 	in := bufio.NewReader(c)
 	for {
