--- a/review/kit-2/lines.go
+++ b/review/kit-2/lines.go
@@ -116,7 +116,8 @@
 type httpAnswer struct {
 	status int
 	body   string
-	close  bool // the front end closes the connection
+	close  bool          // the front end closes the connection
+	wait   time.Duration // how long the client is told to stay away
 }
 
 // httpConn is a client's connection.
@@ -167,6 +168,9 @@
 		switch strings.ToLower(name) {
 		case "content-length":
 			size, _ = strconv.Atoi(value)
+		case "srv-wait-ms":
+			ms, _ := strconv.Atoi(value)
+			a.wait = time.Duration(ms) * time.Millisecond
 		case "connection":
 			a.close = strings.EqualFold(value, "close")
 		}
