Review scripts read TROUBLE themselves, and their driver ends cleanly at a signal

Cause: run.sh of the cases 6 to 10 left TROUBLE to the driver, and a driver that was ended left its temporary folder.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -14,8 +16,8 @@
 var cases = map[string]func(c *run) error{}
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
+	if len(os.Args) != 4 || os.Args[2] != "on" && os.Args[2] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: review-2 CASE on|off RECORD    (on, off: the disruption)")
 		os.Exit(2)
 	}
 	play, ok := cases[os.Args[1]]
@@ -23,16 +25,23 @@
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(2)
 	}
-	c, err := newRun(os.Args[2])
+	c, err := newRun(os.Args[3], os.Args[2] == "on")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	time.AfterFunc(115*time.Second, func() {
-		c.note("the case did not end in time")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-stop:
+			c.note("ended by a signal")
+		case <-time.After(110 * time.Second):
+			c.note("the case did not end in time")
+		}
 		c.cleanUp()
 		os.Exit(2)
-	})
+	}()
 	err = play(c)
 	c.cleanUp()
 	if err != nil {
--- a/review/kit-2/run.go
+++ b/review/kit-2/run.go
@@ -37,7 +37,7 @@
 	err  error
 }
 
-func newRun(record string) (*run, error) {
+func newRun(record string, trouble bool) (*run, error) {
 	root, err := os.Getwd()
 	if err != nil {
 		return nil, err
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	return &run{
-		trouble: os.Getenv("TROUBLE") != "0", dir: dir, root: root,
+		trouble: trouble, dir: dir, root: root,
 		out: bufio.NewWriter(file), file: file, started: time.Now(),
 	}, nil
 }
