--- a/review/kit-2/case_cells.go
+++ b/review/kit-2/case_cells.go
@@ -107,6 +107,7 @@
 					continue
 				}
 				key := fmt.Sprintf("key-%d-%d", n, i)
+				c.note("client %d sends the load %s", n, key)
 				answer, err := client.run("INSERT INTO stock_17.parts (id, day) VALUES ($1, $2)", key, "2026-12-01")
 				_ = client.conn.Close()
 				c.note("client %d: %s: %v %v", n, key, answer, err)
--- a/review/kit-2/case_copies.go
+++ b/review/kit-2/case_copies.go
@@ -76,6 +76,7 @@
 					}
 				}
 				key := fmt.Sprintf("part-%d-%d", n, i)
+				c.note("client %d sends the statement for %s", n, key)
 				answer, err := client.run("SELECT day FROM stock_17.orders WHERE part = $1", key)
 				c.note("client %d: %s: %v %v", n, key, answer, err)
 				if err != nil {
--- a/review/kit-2/case_memory.go
+++ b/review/kit-2/case_memory.go
@@ -38,7 +38,7 @@
 		memoryMB   = 192
 		badClients = 4
 		messages   = 60
-		size       = 1_000_000
+		size       = 990_000 // with what surrounds it, sixty messages stay under 60 MB
 		usual      = 12
 		calm       = 3 * time.Second
 		after      = 9 * time.Second
@@ -110,6 +110,7 @@
 					}
 				}
 				key := fmt.Sprintf("part-%d-%d", n, i)
+				c.note("client %d sends the statement for %s", n, key)
 				answer, err := client.run("SELECT day FROM stock_17.orders WHERE part = $1", key)
 				c.note("client %d: %s: %v %v", n, key, answer, err)
 				mu.Lock()
@@ -130,8 +131,8 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				err := prepareMuch(listen, messages, size, end)
-				c.note("bad client %d: %v", n, err)
+				sent, err := prepareMuch(listen, messages, size, end)
+				c.note("bad client %d sent %d bytes: %v", n, sent, err)
 			}()
 		}
 	}
@@ -152,20 +153,22 @@
 }
 
 // prepareMuch sends many large statements to prepare, and reads whatever it is sent.
-func prepareMuch(listen string, messages, size int, end time.Time) error {
+func prepareMuch(listen string, messages, size int, end time.Time) (sent int, err error) {
 	client, err := dialPostgres(listen)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = client.conn.Close() }()
 	go func() { _, _ = io.Copy(io.Discard, client.in) }()
 	text := "SELECT day FROM stock_17.orders WHERE part = '" + strings.Repeat("x", size) + "'"
 	for i := range messages {
 		message := pgMessage('P', cstring(fmt.Sprintf("s%d", i)), cstring(text), number16(0))
-		if _, err := client.conn.Write(message); err != nil {
-			return fmt.Errorf("after %d messages: %w", i, err)
+		n, err := client.conn.Write(message)
+		sent += n
+		if err != nil {
+			return sent, fmt.Errorf("after %d messages: %w", i, err)
 		}
 	}
 	time.Sleep(time.Until(end))
-	return nil
+	return sent, nil
 }
--- a/review/kit-2/case_queue.go
+++ b/review/kit-2/case_queue.go
@@ -329,6 +329,7 @@
 					mu.Lock()
 					keys[id] = key
 					mu.Unlock()
+					c.note("a client sends %s under %s, %d bytes", id, key, len(statement))
 					_ = conn.post("load", id, deadline, statement, "Req-Token: "+key+"\r\n")
 					a, err := conn.answer(deadline + 2*time.Second)
 					if err != nil && !errors.Is(err, io.EOF) {
