Keep bytes in the socket, and refuse old incomplete requests, while read buffers are full

Cause: reader.bufferLocked dropped the buffer of the connection that had just been read, and closed its socket, if all read buffers together exceeded the budget and this one held more than one read. It looked neither at whose bytes filled the budget nor at whether the buffer held whole requests, and no handler could refuse. Evidence: on the code as found TestReadBudget_CompleteRequestIsServedWhileOthersFillTheBuffers and TestPostgres_ReadBudgetRefusesTheOldestIncompleteMessage fail with "connection reset by peer". Change: a connection that has buffered 32 KB waits for the budget; its bytes stay in the socket, and waiting connections are granted reads in turn. If some wait, the handlers refuse the messages that have been incomplete for the longest time and for at least 0.2 s: HTTP with 503 and a Retry-After, PostgreSQL with SQLSTATE 53200. A client that is kept waiting until its read timeout is refused too, instead of being told that its request was incomplete. Tests replaced: TestBufferBudget_ClosesTheConnectionThatExceedsIt and TestPostgres_BufferBudgetEndsTheClientThatExceedsIt demanded the close without a response, which is the fault. The new ones demand the same bound on memory, and a response to each client.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -28,8 +28,10 @@
 
 // adopt hands a connected socket to the poller. The function onEnded is called once the connection has ended. If adopt
 // fails, it closes the socket and calls neither newHandler nor onEnded. It must be called on the loop's goroutine.
-func (l *Loop) adopt(s *socket, readLimit int, newHandler func(*Conn) Handler, onEnded func()) (*Conn, error) {
-	c := newConn(l, s, readLimit)
+func (l *Loop) adopt(
+	s *socket, budget *readBudget, readLimit int, newHandler func(*Conn) Handler, onEnded func(),
+) (*Conn, error) {
+	c := newConn(l, s, budget, readLimit)
 	c.onEnded = onEnded
 	s.owner = c
 	s.poller = l.poller
@@ -45,10 +47,10 @@
 }
 
 // newConn returns the connection of a socket, without its handler.
-func newConn(l *Loop, s *socket, readLimit int) *Conn {
+func newConn(l *Loop, s *socket, budget *readBudget, readLimit int) *Conn {
 	c := &Conn{loop: l, socket: s}
 	state := &c.closer.state
-	c.reader = reader{loop: l, socket: s, state: state, limit: readLimit}
+	c.reader = reader{loop: l, socket: s, state: state, budget: budget, limit: readLimit}
 	c.reader.onData = func(in *Buffer) { c.handler.OnData(c, in) }
 	c.reader.bytesMayHaveWaited = true // while the connection waited to be accepted
 	c.writer = writer{loop: l, socket: s, state: state, notifyCloser: c.closer.writesFlushed}
@@ -81,6 +83,10 @@
 // Redeliver schedules another call of OnData, on a later turn, for the bytes that an earlier call left in the buffer.
 func (c *Conn) Redeliver() { c.reader.redeliver() }
 
+// AwaitsReadBudget reports whether reading has paused because the read budget is used up. The socket may hold the rest
+// of an incomplete message.
+func (c *Conn) AwaitsReadBudget() bool { return c.reader.awaitsBudget() }
+
 // UnreadBytes returns the number of received bytes that the handler has not consumed. It must not be called from
 // OnData.
 func (c *Conn) UnreadBytes() int { return c.reader.unreadBytes() }
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -31,7 +31,8 @@
 //   - closer runs the state machine of the close. Its diagram is in the comment of connState.
 //
 // A socket makes the system calls and queues the bytes that the kernel does not accept at once. The poller waits for
-// the events of all sockets. An acceptor accepts the connections of a listener, and a dialer makes those of Loop.Dial.
+// the events of all sockets. A readBudget limits the memory of the read buffers. An acceptor accepts the connections of
+// a listener, and a dialer makes those of Loop.Dial.
 //
 // # Goroutines
 //
@@ -43,8 +44,9 @@
 //   - Each listener has a goroutine that accepts, and each dial has a goroutine that connects. They post the
 //     new socket.
 //
-// Loop.Post, Loop.Now, Loop.Dial, Loop.Listen, Loop.BufferedBytes and the Close of a listener may be called from any
-// goroutine. Every other exported method of Loop, Conn and Buffer must be called on the loop's goroutine.
+// Loop.Post, Loop.Now, Loop.Dial, Loop.Listen, Loop.SetReadBudget, Loop.BufferedBytes and the Close of a listener may
+// be called from any goroutine. Every other exported method of Loop, Conn and Buffer must be called on the loop's
+// goroutine.
 //
 // # Locks
 //
@@ -54,11 +56,12 @@
 //     during each system call on the descriptor, so that no call uses the number of a closed descriptor, which the
 //     kernel may have reused.
 //   - poller.mu guards the poller's table of sockets.
+//   - readBudget.mu guards the queue of the connections that wait for memory.
 //   - taskQueue.mu guards the functions that wait for the loop's goroutine.
 //
-// The mutexes are locked in this order: reader.mu, then socket.mu, then poller.mu or taskQueue.mu. No other lock is
-// taken while one of the last two is held. No lock is held when a posted function starts, a timer fires or
-// Handler.OnClosed is called. The state of the close and the counts of buffered and of pending bytes are atomic and
+// The mutexes are locked in this order: reader.mu, then socket.mu, then poller.mu, readBudget.mu or taskQueue.mu. No
+// other lock is taken while one of the last three is held. No lock is held when a posted function starts, a timer fires
+// or Handler.OnClosed is called. The state of the close and the counts of buffered and of pending bytes are atomic and
 // need no lock.
 //
 // A method whose name ends in Locked must be called with the mutex of its type held.
--- a/internal/eventloop/errors.go
+++ b/internal/eventloop/errors.go
@@ -7,8 +7,6 @@
 )
 
 var (
-	// errBufferBudgetExceeded ends a connection when the read buffers of all connections exceed Loop.BufferBudget.
-	errBufferBudgetExceeded = errors.New("the read buffers of all connections exceed the budget")
 	// errWriteQueueFull ends a connection whose peer reads too slowly.
 	errWriteQueueFull = errors.New("too many bytes wait to be sent")
 	// errNotTCP is the error of convert for a connection that is not a TCP connection.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -3,16 +3,12 @@
 import (
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"flaxrelay/internal/timerqueue"
 )
 
 const (
-	// defaultBufferBudget is the BufferBudget of a new loop, in bytes.
-	defaultBufferBudget = 48 << 20
-
 	// maxIdleWait is how long Run sleeps while no timer is scheduled. Any value works: a posted function wakes Run.
 	maxIdleWait = time.Hour
 
@@ -21,21 +17,17 @@
 )
 
 // Loop owns the sockets and the timers, and calls all handlers on the goroutine that calls Run. Only Post, Now, Dial,
-// Listen and BufferedBytes may be called from other goroutines.
+// Listen, SetReadBudget and BufferedBytes may be called from other goroutines.
 type Loop struct {
 	// Timers holds the timers that Run fires. It must be used only on the loop's goroutine.
-	Timers *timerqueue.Queue
-	// BufferBudget limits the total size of the read buffers of all connections, in bytes. While it is exceeded, the
-	// next connection whose message needs more than one read is closed. It must be set before Run.
-	BufferBudget int64
-
+	Timers        *timerqueue.Queue
 	startedAt     time.Time
 	startedAtUnix time.Duration // startedAt as the time since the Unix epoch
 	poller        *poller
 	dialer        dialer
 	listen        func(network, addr string) (net.Listener, error) // net.Listen, except in tests
 	tasks         *taskQueue
-	bufferedBytes atomic.Int64
+	readBudget    *readBudget
 
 	// The fields below are used only on the loop's goroutine.
 	scratch     []byte // receives the bytes of one read on this goroutine
@@ -50,9 +42,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("start the poller: %w", err)
 	}
-	return &Loop{
+	l := &Loop{
 		Timers:        timerqueue.New(),
-		BufferBudget:  defaultBufferBudget,
 		startedAt:     now,
 		startedAtUnix: time.Duration(now.UnixNano()),
 		poller:        startedPoller,
@@ -61,9 +52,16 @@
 		tasks:         newTaskQueue(),
 		scratch:       make([]byte, readSize),
 		connections:   map[*Conn]struct{}{},
-	}, nil
+	}
+	l.readBudget = newReadBudget(l)
+	return l, nil
 }
 
+// SetReadBudget limits the total size of the read buffers of all connections, in bytes. It should exceed readSize for
+// each connection, and the size of the largest message. While the budget is used up, connections that have buffered
+// less than readSize bytes are read on; the others wait. SetReadBudget may be called from any goroutine.
+func (l *Loop) SetReadBudget(bytes int64) { l.readBudget.limit.Store(bytes) }
+
 // Now returns the time since the Unix epoch by a monotonic clock that starts at the system's time. It may be called
 // from any goroutine.
 func (l *Loop) Now() time.Duration { return l.startedAtUnix + time.Since(l.startedAt) }
@@ -117,4 +115,4 @@
 
 // BufferedBytes returns the number of bytes in the read buffers of all connections. It may be called from any
 // goroutine.
-func (l *Loop) BufferedBytes() int64 { return l.bufferedBytes.Load() }
+func (l *Loop) BufferedBytes() int64 { return l.readBudget.buffered.Load() }
--- a/internal/eventloop/reader.go
+++ b/internal/eventloop/reader.go
@@ -11,7 +11,8 @@
 )
 
 // reader reads a connection's socket into its buffer, and hands the buffer to the handler. The state of the connection
-// determines whether bytes are buffered, discarded or left in the socket. Reading pauses while the buffer is full.
+// determines whether bytes are buffered, discarded or left in the socket. Reading pauses while the buffer is full, and
+// while a buffer that holds readSize bytes or more waits for the budget.
 //
 // Both goroutines read: the poller's when the socket is readable, the loop's before an idle connection is closed and
 // after a failed write. The mutex mu serializes these reads and the handler's use of the buffer.
@@ -22,15 +23,17 @@
 	loop   *Loop
 	socket *socket
 	state  *atomicConnState
+	budget *readBudget
 	limit  int           // unread bytes at which the buffer is full; at least the size of the largest message
 	onData func(*Buffer) // calls the handler
 
-	aheadLimited atomic.Bool // written only by the loop's goroutine
+	aheadLimited atomic.Bool  // written only by the loop's goroutine
+	budgetState  atomic.Int32 // a budgetState; written only with mu held
 
 	mu                 sync.Mutex
 	in                 Buffer // guarded by mu, as are the fields below
 	deliveryPosted     bool   // a call of deliver is in the loop's queue
-	paused             bool   // the buffer is full, and the socket may hold more
+	paused             bool   // the buffer is full or waits for the budget, and the socket may hold more
 	bytesMayHaveWaited bool   // the next bytes may have been in the socket for a long time
 	discarded          int    // bytes received after Close
 }
@@ -44,6 +47,8 @@
 	readUntilShort readMode = iota
 	// readUntilEmpty: until the socket holds no more bytes, or the stream has ended.
 	readUntilEmpty
+	// readBeforeClose is like readUntilEmpty, but does not wait for the budget: the socket is closed next.
+	readBeforeClose
 )
 
 // read reads what the socket holds. It is called on the poller's goroutine.
@@ -58,7 +63,7 @@
 func (r *reader) readToEndAndClose(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAndPostLocked(r.loop.scratch, readUntilEmpty)
+	r.readAndPostLocked(r.loop.scratch, readBeforeClose)
 	r.socket.close(err)
 }
 
@@ -87,12 +92,19 @@
 			r.pauseLocked()
 			return deliver, false, nil
 		}
-		n, err := r.socket.read(scratch)
+		target := r.nextReadLocked(scratch, mode)
+		if len(target) == 0 {
+			if !deliver { // otherwise another event reports whether the socket holds more
+				r.awaitBudgetLocked()
+			}
+			return deliver, false, nil
+		}
+		n, err := r.socket.read(target)
 		switch {
 		case n > 0:
-			buffered, readOn := r.bufferOrDiscardLocked(scratch[:n])
+			buffered, readOn := r.bufferOrDiscardLocked(target[:n])
 			deliver = deliver || buffered
-			if !readOn || mode == readUntilShort && n < len(scratch) {
+			if !readOn || mode == readUntilShort && n < len(target) {
 				return deliver, false, nil
 			}
 		case errors.Is(err, unix.EAGAIN), errors.Is(err, net.ErrClosed):
@@ -106,6 +118,7 @@
 // pauseLocked stops the poller's events for reading until there is space in the buffer. If the read-ahead is limited,
 // the poller still reports the end of the stream. Otherwise the end is detected once the bytes before it are read.
 func (r *reader) pauseLocked() {
+	r.leaveBudgetLocked()
 	r.paused = true
 	if r.aheadLimited.Load() {
 		r.socket.setReadInterest(streamEndEvents)
@@ -120,7 +133,9 @@
 	if r.state.load() != connOpen {
 		return false, r.discardLocked(len(data))
 	}
-	return true, r.bufferLocked(data)
+	r.in.append(data, r.arrivalTimeLocked())
+	r.budget.add(len(data))
+	return true, true
 }
 
 // discardLocked counts bytes that arrived after Close and are dropped. They are read because a socket that is closed
@@ -135,20 +150,6 @@
 	return true
 }
 
-// bufferLocked buffers bytes for the handler, and reports whether to read on. While the loop's budget is exceeded, it
-// closes a connection whose buffer holds more than one read: otherwise many peers that each send only part of a long
-// message could use up the memory.
-func (r *reader) bufferLocked(data []byte) (readOn bool) {
-	r.in.append(data, r.arrivalTimeLocked())
-	total := r.loop.bufferedBytes.Add(int64(len(data)))
-	if total <= r.loop.BufferBudget || r.in.Len() <= readSize {
-		return true
-	}
-	r.releaseBufferLocked() // at once: other connections need the memory
-	r.socket.close(errBufferBudgetExceeded)
-	return false
-}
-
 // arrivalTimeLocked returns when the bytes that have just been read arrived. That is the current time, unless the bytes
 // may have waited for the connection to be accepted, or for space in the buffer.
 func (r *reader) arrivalTimeLocked() time.Duration {
@@ -187,18 +188,28 @@
 		r.in.Consume(before)
 	case connClosed:
 	}
-	r.loop.bufferedBytes.Add(int64(r.in.Len() - before))
+	r.budget.add(r.in.Len() - before)
 	if r.paused {
 		r.resumeIfSpaceLocked()
 	}
 }
 
-// resumeIfSpaceLocked resumes reading unless the buffer is still full.
+// resumeIfSpaceLocked resumes reading unless the buffer is still full or waits for the budget.
 func (r *reader) resumeIfSpaceLocked() {
 	if r.in.Len() >= r.currentLimit() {
 		r.pauseLocked() // again: the handler may have limited the read-ahead
 		return
 	}
+	if r.awaitsBudget() {
+		if r.in.Len() >= readSize {
+			return
+		}
+		r.leaveBudgetLocked()
+	}
+	r.resumeLocked()
+}
+
+func (r *reader) resumeLocked() {
 	r.paused = false
 	r.bytesMayHaveWaited = true
 	r.socket.setReadInterest(readEvents)
@@ -213,6 +224,7 @@
 
 // releaseBufferLocked drops the bytes that were read and not consumed.
 func (r *reader) releaseBufferLocked() {
-	r.loop.bufferedBytes.Add(-int64(r.in.Len()))
+	r.leaveBudgetLocked()
+	r.budget.add(-r.in.Len())
 	r.in = Buffer{}
 }
--- a/internal/eventloop/socket.go
+++ b/internal/eventloop/socket.go
@@ -27,7 +27,7 @@
 	readEvents = unix.EPOLLIN | unix.EPOLLRDHUP
 	// streamEndEvents is only the end of the stream.
 	streamEndEvents = unix.EPOLLRDHUP
-	// noReadEvents is the empty set, for a socket that is not read because the buffer is full.
+	// noReadEvents is the empty set, for a socket that is not read because the buffer is full or awaits its budget.
 	noReadEvents = 0
 )
 
--- a/internal/frontend/httpserver/close.go
+++ b/internal/frontend/httpserver/close.go
@@ -23,6 +23,7 @@
 	closeReadTimeout    closeReason = "read-timeout"    // a new client sent nothing in time
 	closeIdleTimeout    closeReason = "idle"            // an idle client sent nothing for maxIdleTime
 	closeEvicted        closeReason = "evicted"         // a new connection needed a descriptor
+	closeReadBudget     closeReason = "read-budget"     // an incomplete request was rejected for lack of memory
 	closeShutdown       closeReason = "shutdown"        // a graceful shutdown
 )
 
--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -143,6 +143,16 @@
 	c.readTimer = c.server.loop.Timers.Schedule(deadline, c.onReadTimeout)
 }
 
+// RefusePartial implements eventloop.PartialRefuser. It rejects a request that has arrived only in part, because the
+// read buffers are full. The read timer runs exactly while the rest of a request is awaited.
+func (c *connection) RefusePartial() bool {
+	if !c.state.awaitsRequest() || c.readTimer == nil || c.reader.unread() == 0 {
+		return false
+	}
+	c.rejectPartial(closeReadBudget)
+	return true
+}
+
 // onReadTimeout closes a connection whose request did not arrive completely in time. If a part of the request has
 // arrived, the client receives an error response first.
 func (c *connection) onReadTimeout() {
@@ -153,6 +163,10 @@
 	if c.closeUnused(closeReadTimeout) {
 		return
 	}
+	if c.socket.AwaitsReadBudget() { // the client may have sent the rest
+		c.rejectPartial(closeReadBudget)
+		return
+	}
 	c.reject(&statusError{http.StatusRequestTimeout, "the call was not whole in time"})
 }
 
--- a/internal/frontend/httpserver/parse.go
+++ b/internal/frontend/httpserver/parse.go
@@ -65,8 +65,7 @@
 }
 
 // parse parses the request and returns its size, or 0 while it is incomplete. The input must begin with the bytes of
-// the previous call, unless that call has returned a request or an error; then the parser must be reset. It may also be
-// empty: a connection that is closed because the read buffers are full loses its bytes.
+// the previous call, unless that call has returned a request or an error; then the parser must be reset.
 func (p *requestParser) parse(input []byte) (request httpRequest, size int, err *statusError) {
 	if len(input) < max(p.size, p.searched) {
 		return request, 0, nil
--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -40,7 +40,7 @@
 //	skipping  -> ready       Sync
 //	skipping  -> skipping    any other message, which is ignored
 //	ready, skipping          -> closing  Terminate
-//	startup, ready, skipping -> closing  malformed message, or a client that stalls within a message
+//	startup, ready, skipping -> closing  malformed message, or one that stays incomplete or is refused
 //	any                      -> closing  client disconnected
 //
 // A graceful shutdown closes the connection at once, or after the next ReadyForQuery if a request is in flight.
@@ -80,7 +80,7 @@
 	extended extendedQuery
 
 	output     messageWriter
-	stallTimer *timerqueue.Timer // calls fatal if the client stops within a message
+	stallTimer *timerqueue.Timer // calls onStall; nil unless the rest of a message is awaited
 
 	// The request in flight and its execution; both are nil except in stateInFlight.
 	request   *lifecycle.Request
@@ -125,7 +125,7 @@
 		}
 		in.Consume(size)
 	}
-	c.stallTimer.Stop()
+	c.stopStallTimer()
 	if in.Len() > 0 && c.awaitsClient() {
 		c.startStallTimer()
 	}
@@ -208,10 +208,37 @@
 // startStallTimer limits the time until the client sends more of a message that has arrived only in part. Each further
 // part restarts the timer, because a slow client may need longer than stallTimeout for a large message.
 func (c *connection) startStallTimer() {
-	c.stallTimer = c.server.loop.Timers.Schedule(c.server.loop.Now()+stallTimeout, func() {
-		c.server.counters.Increment(metrics.PostgresStalled)
-		c.fatal(newError(codeProtocolViolation, "a message stopped in the middle"))
-	})
+	c.stallTimer = c.server.loop.Timers.Schedule(c.server.loop.Now()+stallTimeout, c.onStall)
+}
+
+func (c *connection) stopStallTimer() {
+	c.stallTimer.Stop()
+	c.stallTimer = nil
+}
+
+// onStall ends the connection of a client that has stopped within a message.
+func (c *connection) onStall() {
+	if c.socket.AwaitsReadBudget() { // the client may have sent the rest
+		c.refusePartial()
+		return
+	}
+	c.server.counters.Increment(metrics.PostgresStalled)
+	c.fatal(newError(codeProtocolViolation, "a message stopped in the middle"))
+}
+
+// RefusePartial implements eventloop.PartialRefuser. It rejects a message that has arrived only in part, because the
+// read buffers are full.
+func (c *connection) RefusePartial() bool {
+	if c.stallTimer == nil || c.socket.UnreadBytes() == 0 {
+		return false
+	}
+	c.refusePartial()
+	return true
+}
+
+func (c *connection) refusePartial() {
+	c.server.counters.Increment(metrics.PostgresReadBudget)
+	c.fatal(newError(codeOutOfMemory, "the gateway holds too many incomplete messages"))
 }
 
 // rejectMalformed sends an ErrorResponse for input that can't be decoded, and closes the connection.
@@ -238,6 +265,7 @@
 // close closes the connection from this side, once all written bytes are sent.
 func (c *connection) close() {
 	c.state = stateClosing
+	c.stopStallTimer()
 	c.socket.Close()
 }
 
@@ -246,7 +274,7 @@
 func (c *connection) OnClosed(_ *eventloop.Conn, _ error) {
 	request, _ := c.endRequest()
 	c.state = stateClosing
-	c.stallTimer.Stop()
+	c.stopStallTimer()
 	delete(c.server.connections, c.key.processID)
 	c.extended.portals.closeAll()
 	if request != nil {
--- a/internal/metrics/catalog.go
+++ b/internal/metrics/catalog.go
@@ -89,6 +89,8 @@
 		"Malformed messages of clients; each closes its connection.")
 	PostgresStalled = declare("postgres.stalled",
 		"Messages of clients that stopped arriving before they were complete; each closes its connection.")
+	PostgresReadBudget = declare("postgres.read-budget",
+		"Incomplete messages of clients refused because the read buffers are full; each closes its connection.")
 	PostgresErrors = declareVec("postgres.errors", LabelSQLState,
 		"Errors sent to clients, except those that close the connection.")
 	PostgresCancelRequests = declare("postgres.cancel-requests",
