Give connections to engines and to the event bus a read budget of their own

What callers saw: the read budget was shared by all connections. Cause: one Loop.BufferBudget for accepted and for dialed connections. Change: two budgets. Clients get an eighth of the memory limit, dialed connections a twelfth, each at least as much as the largest message; clients had a sixth, shared. Dialed connections wait too, but nothing of theirs is refused: what they hold is consumed in the next turn of the event loop, or ends with the timeout of its incomplete response.

--- a/cmd/flaxrelay/limits.go
+++ b/cmd/flaxrelay/limits.go
@@ -18,16 +18,24 @@
 	defaultDescriptors = 1024
 )
 
-// Divisors of the memory limit. Each defines the share of one part of the program: read buffers may use a
-// sixth of the limit, for example. Without statement statistics, the shares add up to less than a third
-// of the limit in the HTTP front end, and to less than six tenths in the PostgreSQL front end. The rest
-// is for the program itself and the garbage collector.
+// Divisors of the memory limit. Each defines the share of one part of the program: read buffers of
+// clients may use an eighth of the limit, for example. Without statement statistics, the shares add up
+// to a third of the limit in the HTTP front end, and to five eighths in the PostgreSQL front end. The
+// rest is for the program itself and the garbage collector.
 const (
-	loopBufferDivisor      = 6 // read buffers of all connections of the event loop
-	bufferedResultsDivisor = 8 // HTTP results whose next page has not been fetched yet
-	openPortalsDivisor     = 6 // rows in open portals of PostgreSQL clients
-	engineBufferDivisor    = 4 // results of PostgreSQL engines that have not been sent to clients yet
-	shapeStatisticsDivisor = 4 // maximum for statement statistics
+	clientReadDivisor      = 8  // read buffers of the connections of clients
+	dialedReadDivisor      = 12 // read buffers of the connections to engines and to the event bus
+	bufferedResultsDivisor = 8  // HTTP results whose next page has not been fetched yet
+	openPortalsDivisor     = 6  // rows in open portals of PostgreSQL clients
+	engineBufferDivisor    = 4  // results of PostgreSQL engines that have not been sent to clients yet
+	shapeStatisticsDivisor = 4  // maximum for statement statistics
+)
+
+// The minimum sizes of the read budgets, in bytes. Each exceeds the largest message of a PostgreSQL client
+// or of a PostgreSQL engine.
+const (
+	minClientReadBudget = 2 << 20
+	minDialedReadBudget = 5 << 20
 )
 
 // The Go runtime's soft memory limit is heapLimitTenths / tenths of the configured memory limit. The
@@ -73,6 +81,17 @@
 	return memoryMB * bytesPerMB / divisor
 }
 
+// clientReadBudget returns the limit on the read buffers of all connections of clients, in bytes.
+func (l resourceLimits) clientReadBudget() int64 {
+	return int64(max(l.memoryFraction(clientReadDivisor), minClientReadBudget))
+}
+
+// dialedReadBudget returns the limit on the read buffers of all connections to engines and to the event
+// bus, in bytes.
+func (l resourceLimits) dialedReadBudget() int64 {
+	return int64(max(l.memoryFraction(dialedReadDivisor), minDialedReadBudget))
+}
+
 // descriptorTable returns the limit on descriptors.
 func (l resourceLimits) descriptorTable() int {
 	if l.descriptors <= 0 {
--- a/cmd/flaxrelay/limits_test.go
+++ b/cmd/flaxrelay/limits_test.go
@@ -9,11 +9,13 @@
 		clients           int
 		engineConnections int
 		sixthOfMemory     int
+		clientReadBudget  int64
+		dialedReadBudget  int64
 	}{
-		{"not configured", resourceLimits{}, 736, 248, 32 << 20},
-		{"limits of the platform", resourceLimits{memoryMB: 192, descriptors: 1024}, 736, 248, 32 << 20},
-		{"small table", resourceLimits{memoryMB: 96, descriptors: 64}, 16, 8, 16 << 20},
-		{"table too small", resourceLimits{memoryMB: 6, descriptors: 10}, 8, 4, 1 << 20},
+		{"not configured", resourceLimits{}, 736, 248, 32 << 20, 24 << 20, 16 << 20},
+		{"usual limits", resourceLimits{memoryMB: 192, descriptors: 1024}, 736, 248, 32 << 20, 24 << 20, 16 << 20},
+		{"small table", resourceLimits{memoryMB: 96, descriptors: 64}, 16, 8, 16 << 20, 12 << 20, 8 << 20},
+		{"table too small", resourceLimits{memoryMB: 6, descriptors: 10}, 8, 4, 1 << 20, 2 << 20, 5 << 20},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if got := test.limits.maxClients(); got != test.clients {
@@ -25,6 +27,12 @@
 			if got := test.limits.memoryFraction(6); got != test.sixthOfMemory {
 				t.Errorf("a sixth of the memory: %d bytes, want %d", got, test.sixthOfMemory)
 			}
+			if got := test.limits.clientReadBudget(); got != test.clientReadBudget {
+				t.Errorf("read buffers of clients: %d bytes, want %d", got, test.clientReadBudget)
+			}
+			if got := test.limits.dialedReadBudget(); got != test.dialedReadBudget {
+				t.Errorf("read buffers of engines: %d bytes, want %d", got, test.dialedReadBudget)
+			}
 		})
 	}
 }
--- a/cmd/flaxrelay/server.go
+++ b/cmd/flaxrelay/server.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	loop.SetReadBudget(int64(limits.memoryFraction(loopBufferDivisor)))
+	loop.SetReadBudgets(limits.clientReadBudget(), limits.dialedReadBudget())
 	s.loop = loop
 	s.dispatcher, err = lifecycle.NewDispatcher(settings, seed, loop, loop.Timers, s.counters, s.logger)
 	if err != nil {
--- a/internal/e2e/postgres_limits_test.go
+++ b/internal/e2e/postgres_limits_test.go
@@ -75,7 +75,7 @@
 		messageLength = 300 << 10
 		firstPart     = 250 << 10
 	)
-	front.loop.SetReadBudget(budget)
+	front.loop.SetReadBudgets(budget, budget)
 	front.servePostgres(addr)
 	long := query("SELECT '" + strings.Repeat("x", messageLength) + "'")
 	first := connectPostgres(t, front.addr)
--- a/internal/e2e/read_budget_test.go
+++ b/internal/e2e/read_budget_test.go
@@ -23,10 +23,12 @@
 		incomplete    = 4
 		budget        = incomplete * (statementSize + 1<<10) // of the incomplete requests alone
 		usual         = 3
+		// The order of two arrivals is not known if they are closer than this.
+		arrivalPrecision = 20 * time.Millisecond
 	)
 	addr, _ := startLineEngine(t, emptyReply)
 	front := newFrontEnd(t, nil)
-	front.loop.SetReadBudget(budget)
+	front.loop.SetReadBudgets(budget, budget)
 	front.httpOptions.ReadTimeout = time.Minute // only the budget ends the incomplete requests
 	front.serveHTTP(addr)
 	var stalled []*httpClient
@@ -35,8 +37,9 @@
 		client := connectHTTP(t, front.addr)
 		client.send(request[:len(request)-1])
 		stalled = append(stalled, client)
+		front.awaitBuffered(int64(n+1) * statementSize)
+		time.Sleep(arrivalPrecision)
 	}
-	front.awaitBuffered(incomplete * statementSize)
 	for n := range usual {
 		client := connectHTTP(t, front.addr)
 		got, _ := client.roundTrip(bareHealthRequest)
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -30,7 +30,7 @@
 				done(nil, err)
 				return
 			}
-			done(l.adopt(s, l.readBudget, readLimit, func(*Conn) Handler { return h }, func() {}))
+			done(l.adopt(s, l.dialedBudget, readLimit, func(*Conn) Handler { return h }, func() {}))
 		})
 	}()
 	return cancel
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -44,7 +44,7 @@
 //   - Each listener has a goroutine that accepts, and each dial has a goroutine that connects. They post the
 //     new socket.
 //
-// Loop.Post, Loop.Now, Loop.Dial, Loop.Listen, Loop.SetReadBudget, Loop.BufferedBytes and the Close of a listener may
+// Loop.Post, Loop.Now, Loop.Dial, Loop.Listen, Loop.SetReadBudgets, Loop.BufferedBytes and the Close of a listener may
 // be called from any goroutine. Every other exported method of Loop, Conn and Buffer must be called on the loop's
 // goroutine.
 //
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -103,7 +103,7 @@
 // ended. A connection that cannot be polled ends at once, since nothing could be sent to its client.
 func (a *acceptor) adopt(s *socket, onEnded func()) {
 	a.loop.Post(func() {
-		if _, err := a.loop.adopt(s, a.loop.readBudget, a.readLimit, a.newHandler, onEnded); err != nil {
+		if _, err := a.loop.adopt(s, a.loop.acceptedBudget, a.readLimit, a.newHandler, onEnded); err != nil {
 			onEnded()
 		}
 	})
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -17,7 +17,7 @@
 )
 
 // Loop owns the sockets and the timers, and calls all handlers on the goroutine that calls Run. Only Post, Now, Dial,
-// Listen, SetReadBudget and BufferedBytes may be called from other goroutines.
+// Listen, SetReadBudgets and BufferedBytes may be called from other goroutines.
 type Loop struct {
 	// Timers holds the timers that Run fires. It must be used only on the loop's goroutine.
 	Timers        *timerqueue.Queue
@@ -27,7 +27,10 @@
 	dialer        dialer
 	listen        func(network, addr string) (net.Listener, error) // net.Listen, except in tests
 	tasks         *taskQueue
-	readBudget    *readBudget
+	// The budgets of accepted and of dialed connections are separate, so that clients cannot use up the memory for the
+	// responses of engines.
+	acceptedBudget *readBudget
+	dialedBudget   *readBudget
 
 	// The fields below are used only on the loop's goroutine.
 	scratch     []byte // receives the bytes of one read on this goroutine
@@ -53,14 +56,19 @@
 		scratch:       make([]byte, readSize),
 		connections:   map[*Conn]struct{}{},
 	}
-	l.readBudget = newReadBudget(l)
+	l.acceptedBudget = newReadBudget(l)
+	l.dialedBudget = newReadBudget(l)
 	return l, nil
 }
 
-// SetReadBudget limits the total size of the read buffers of all connections, in bytes. It should exceed readSize for
-// each connection, and the size of the largest message. While the budget is used up, connections that have buffered
-// less than readSize bytes are read on; the others wait. SetReadBudget may be called from any goroutine.
-func (l *Loop) SetReadBudget(bytes int64) { l.readBudget.limit.Store(bytes) }
+// SetReadBudgets limits the total size of the read buffers of all accepted connections and that of all dialed
+// connections, in bytes. Each should exceed readSize for each connection, and the size of the largest message. While a
+// budget is used up, connections that have buffered less than readSize bytes are read on; the others wait.
+// SetReadBudgets may be called from any goroutine.
+func (l *Loop) SetReadBudgets(accepted, dialed int64) {
+	l.acceptedBudget.limit.Store(accepted)
+	l.dialedBudget.limit.Store(dialed)
+}
 
 // Now returns the time since the Unix epoch by a monotonic clock that starts at the system's time. It may be called
 // from any goroutine.
@@ -115,4 +123,6 @@
 
 // BufferedBytes returns the number of bytes in the read buffers of all connections. It may be called from any
 // goroutine.
-func (l *Loop) BufferedBytes() int64 { return l.readBudget.buffered.Load() }
+func (l *Loop) BufferedBytes() int64 {
+	return l.acceptedBudget.buffered.Load() + l.dialedBudget.buffered.Load()
+}
--- a/internal/eventloop/readbudget_test.go
+++ b/internal/eventloop/readbudget_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"flaxrelay/internal/eventloop/eventlooptest"
+	"flaxrelay/internal/tcptest"
 )
 
 // refuser is a recorder that leaves bytes in the buffer until want bytes have arrived, and can refuse what has arrived
@@ -61,7 +62,7 @@
 func TestReadBudget_RefusesTheOldestIncompleteMessageAndDropsNoOther(t *testing.T) {
 	const messageSize = 4 * readSize
 	l, _ := startLoop(t)
-	l.SetReadBudget(2 * (messageSize - 1))
+	l.SetReadBudgets(2*(messageSize-1), readSize)
 	handlers, peers := listenForMessages(t, l, messageSize, 3)
 	for i := range 2 {
 		fillBudget(t, l, handlers[i], peers[i], messageSize-1)
@@ -95,7 +96,7 @@
 		limit = 3*messageSize + connections*readSize
 	)
 	l, _ := startLoop(t)
-	l.SetReadBudget(3 * messageSize)
+	l.SetReadBudgets(3*messageSize, readSize)
 	handlers, peers := listenForMessages(t, l, messageSize, connections)
 	for _, peer := range peers {
 		go func() { _, _ = peer.Write(make([]byte, messageSize)) }()
@@ -129,7 +130,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			l, _ := startLoop(t)
-			l.SetReadBudget(2 * readSize)
+			l.SetReadBudgets(2*readSize, readSize)
 			r, peer := connectTo(t, l) // its handler can't refuse
 			eventlooptest.Do(l, func() { r.ignoresData = true })
 			_, _ = peer.Write(make([]byte, messageSize/2))
@@ -141,10 +142,10 @@
 			eventlooptest.Do(l, func() { test.end(waiting.conn) })
 			checkEnd(t, waiting, nil)
 			eventlooptest.Do(l, func() {
-				if n := l.readBudget.waitingCount(); n != 0 {
+				if n := l.acceptedBudget.waitingCount(); n != 0 {
 					t.Errorf("%d connections wait", n)
 				}
-				if n := l.readBudget.granted; n != 0 {
+				if n := l.acceptedBudget.granted; n != 0 {
 					t.Errorf("%d grants are left", n)
 				}
 				r.conn.Abort()
@@ -156,3 +157,28 @@
 		})
 	}
 }
+
+// Guards against clients that use up the memory for the responses of engines and the frames of the event bus: the read
+// budget of dialed connections is separate.
+func TestReadBudget_ClientsDoNotDelayDialedConnections(t *testing.T) {
+	const size = 2 * readSize
+	l, _ := startLoop(t)
+	l.SetReadBudgets(1, size)
+	client, clientPeer := connectTo(t, l)
+	eventlooptest.Do(l, func() { client.ignoresData = true })
+	go func() { _, _ = clientPeer.Write(make([]byte, size)) }()
+	awaitOnLoop(t, l, "the client waits for its budget", client.conn.AwaitsReadBudget)
+
+	engine := tcptest.Listen(t, tcptest.AnyLoopbackPort)
+	dialed := &recorder{closed: make(chan error, 1), ignoresData: true}
+	l.Dial(engine.Addr().String(), awaitTimeout, 2*size, dialed, func(c *Conn, _ error) { dialed.conn = c })
+	response, err := engine.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Close() })
+	send(t, response, make([]byte, size))
+	awaitOnLoop(t, l, "the response is read", func() bool {
+		return dialed.conn != nil && dialed.conn.UnreadBytes() == size
+	})
+}
--- a/internal/eventloop/reader_test.go
+++ b/internal/eventloop/reader_test.go
@@ -16,7 +16,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, _ := startLoop(t)
-			l.SetReadBudget(1)
+			l.SetReadBudgets(1, readSize)
 			r, _ := connectTo(t, l)
 			eventlooptest.Do(l, func() {
 				closeConn(r.conn)
--- a/internal/eventloop/socket_test.go
+++ b/internal/eventloop/socket_test.go
@@ -226,7 +226,7 @@
 	l, r, _ := connectedPair(t)
 	eventlooptest.Do(l, func() {
 		s := newSocket(-1)
-		_, err := l.adopt(s, l.readBudget, readSize, func(*Conn) Handler {
+		_, err := l.adopt(s, l.acceptedBudget, readSize, func(*Conn) Handler {
 			t.Error("newHandler was called")
 			return r
 		}, func() { t.Error("onEnded was called") })
