Leave room for the program file in small memory limits

What operators would see: a front end with 32 MB near its limit under floods of large requests, and ended above it. Cause: the heap could use six tenths of any limit. The mapped program file and the C library need 12.5 MB after the start (RssFile), whatever the limit is: 19.2 and 12.5 MB are 31.7 of 32 MB. Change: the heap limit leaves at least 16 MB, as long as it stays above three tenths. Limits of 40 MB and more are as before.

--- a/cmd/flaxrelay/limits.go
+++ b/cmd/flaxrelay/limits.go
@@ -38,11 +38,16 @@
 	minDialedReadBudget = 5 << 20
 )
 
-// The Go runtime's soft memory limit is heapLimitTenths / tenths of the configured memory limit. The
-// fraction is well below 1, because buffers outside the heap count towards the configured limit too.
+// The Go runtime's soft memory limit is heapLimitTenths / tenths of the configured memory limit, and less
+// if that leaves less than programMemoryMB. Below minHeapLimitTenths / tenths the garbage collector would
+// take too much of the processor.
 const (
-	heapLimitTenths = 6
-	tenths          = 10
+	heapLimitTenths    = 6
+	minHeapLimitTenths = 3
+	tenths             = 10
+	// programMemoryMB is the memory outside the runtime's limit, in MB: above all the mapped program file and
+	// the C library, which count towards the configured limit too.
+	programMemoryMB = 16
 )
 
 // The division of the descriptor table. Clients get three quarters of the table minus
@@ -111,11 +116,18 @@
 	return max(remaining, minEngineConnections)
 }
 
+// heapLimit returns the soft memory limit of the Go runtime, in bytes. A memory limit must be configured.
+func (l resourceLimits) heapLimit() int64 {
+	limit := int64(l.memoryMB) * bytesPerMB
+	usual := limit * heapLimitTenths / tenths
+	return max(min(usual, limit-programMemoryMB*bytesPerMB), limit*minHeapLimitTenths/tenths)
+}
+
 // applyToRuntime sets the limits of the Go runtime. Without a configured memory limit the garbage
 // collector keeps its default.
 func (l resourceLimits) applyToRuntime() {
 	if l.memoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.memoryMB) * bytesPerMB * heapLimitTenths / tenths)
+		debug.SetMemoryLimit(l.heapLimit())
 	}
 	runtime.GOMAXPROCS(maxProcessors)
 }
