Handle bytes that have arrived before a timeout ends their connection

Cause: timers run before functions that are posted in the same turn, so a timeout acted on a buffer of which the latest bytes were read and not delivered, or not read yet. The same class as the read budget: a limit, here on time, drops bytes that have been read. Change: Conn.ReadNow reads what the socket holds and reports whether a delivery is due.

--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -202,11 +202,19 @@
 // open forever if the bus vanished without closing it.
 func (w *Watcher) restartIdleTimer() {
 	w.idleTimer.Stop()
-	w.idleTimer = w.loop.Timers.Schedule(w.loop.Now()+w.idleTimeout, func() {
-		if w.state == stateConnected {
-			w.fail(errIdleTimeout)
-		}
-	})
+	w.idleTimer = w.loop.Timers.Schedule(w.loop.Now()+w.idleTimeout, w.onIdleTimeout)
+}
+
+// onIdleTimeout closes a connection that has received nothing for too long, unless bytes have arrived that wait to be
+// handled.
+func (w *Watcher) onIdleTimeout() {
+	switch {
+	case w.state != stateConnected:
+	case w.conn.ReadNow():
+		w.restartIdleTimer()
+	default:
+		w.fail(errIdleTimeout)
+	}
 }
 
 // fail closes the connection because of an error and schedules the next dial.
--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -8,6 +8,7 @@
 
 	"flaxrelay/internal/discovery/discoverytest"
 	"flaxrelay/internal/eventloop"
+	"flaxrelay/internal/eventloop/eventlooptest"
 	"flaxrelay/internal/lifecycle"
 	"flaxrelay/internal/tcptest"
 	"flaxrelay/policy"
@@ -90,6 +91,31 @@
 	}
 }
 
+// Guards against a connection that is closed as silent though bytes have arrived that are not handled yet.
+func TestWatcher_HandlesWhatHasArrivedBeforeItsIdleTimeout(t *testing.T) {
+	const idleTimeout = 200 * time.Millisecond
+	listener := tcptest.Listen(t, tcptest.AnyLoopbackPort)
+	log := newDisconnects()
+	loop := startWatcher(t, watcherSetup{
+		options: Options{Address: listener.Addr().String()}, sink: make(recorder, 1),
+		idleTimeout: idleTimeout, log: log,
+	})
+	conn, _ := accept(t, listener)
+	eventlooptest.Do(loop, func() {
+		time.Sleep(2 * idleTimeout) // the idle timer is due, and runs after this function
+		if _, err := conn.Write(encodeFrame(0, frameHeartbeat)); err != nil {
+			t.Error(err)
+		}
+		for started := time.Now(); loop.BufferedBytes() == 0 && time.Since(started) < discoverytest.Timeout; {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	eventlooptest.Do(loop, func() {})
+	if len(log.reasons) > 0 {
+		t.Errorf("disconnected: %v", <-log.reasons)
+	}
+}
+
 func TestWatcher_LogsTheProtocolErrorThatEndedAConnection(t *testing.T) {
 	listener := tcptest.Listen(t, tcptest.AnyLoopbackPort)
 	log := newDisconnects()
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -5,7 +5,7 @@
 // Handler is called with the events of one connection, on the loop's goroutine.
 type Handler interface {
 	// OnData is called after the buffer has grown, and after Conn.Redeliver. Bytes that it does not consume stay in the
-	// buffer. It must not call Conn.UnreadBytes or Conn.CloseIfIdle.
+	// buffer. It must not call Conn.UnreadBytes, Conn.ReadNow or Conn.CloseIfIdle.
 	OnData(c *Conn, in *Buffer)
 	// OnClosed is called once, after the connection has ended, unless the loop has stopped by then. The error is nil
 	// if the peer ended the stream, or if the connection was closed from this side.
@@ -87,6 +87,10 @@
 // of an incomplete message.
 func (c *Conn) AwaitsReadBudget() bool { return c.reader.awaitsBudget() }
 
+// ReadNow reads what the socket holds, and reports whether bytes wait to be handed to OnData. A timeout that would end
+// the connection calls it first: the bytes may have arrived in time. It must not be called from OnData.
+func (c *Conn) ReadNow() (undelivered bool) { return c.reader.readNow() }
+
 // UnreadBytes returns the number of received bytes that the handler has not consumed. It must not be called from
 // OnData.
 func (c *Conn) UnreadBytes() int { return c.reader.unreadBytes() }
--- a/internal/eventloop/reader.go
+++ b/internal/eventloop/reader.go
@@ -58,6 +58,15 @@
 	r.readAndPostLocked(scratch, mode)
 }
 
+// readNow reads what the socket holds, and reports whether a delivery is due. It must be called on the loop's
+// goroutine.
+func (r *reader) readNow() (undelivered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAndPostLocked(r.loop.scratch, readUntilShort)
+	return r.deliveryPosted
+}
+
 // readToEndAndClose reads what the peer has sent, and then closes the socket with the error of a failed write. It
 // must be called on the loop's goroutine.
 func (r *reader) readToEndAndClose(err error) {
--- a/internal/frontend/httpserver/connection.go
+++ b/internal/frontend/httpserver/connection.go
@@ -75,6 +75,8 @@
 	wantsClose bool               // the client wants the connection closed after the response to its latest request
 	lastActive time.Duration      // time of the latest request or response, as of Loop.Now
 	readTimer  *timerqueue.Timer  // calls onReadTimeout; nil: no time limit on the next request
+	// readTimedOut means that the read timer has expired while bytes waited to be handled.
+	readTimedOut bool
 	// closeReason is the reason why this side closes the connection. It is set together with stateClosing, or in
 	// stateEvicting by the first rejection; until then it is closeNone.
 	closeReason closeReason
@@ -101,8 +103,7 @@
 		if !complete {
 			break
 		}
-		c.readTimer.Stop()
-		c.readTimer = nil
+		c.stopReadTimer()
 		c.wantsClose = request.wantsClose
 		c.lastActive = c.server.loop.Now()
 		c.serve(request)
@@ -126,6 +127,8 @@
 		c.rejectPartial(closeEvicted)
 	case c.server.finishing && unread > 0:
 		c.rejectPartial(closeShutdown)
+	case c.readTimedOut && unread > 0:
+		c.rejectTimedOut()
 	case c.readTimer == nil && unread > 0: // in stateNew the timer already runs
 		c.startReadTimer()
 	}
@@ -143,6 +146,13 @@
 	c.readTimer = c.server.loop.Timers.Schedule(deadline, c.onReadTimeout)
 }
 
+// stopReadTimer ends the time limit of a request that is complete.
+func (c *connection) stopReadTimer() {
+	c.readTimer.Stop()
+	c.readTimer = nil
+	c.readTimedOut = false
+}
+
 // RefusePartial implements eventloop.PartialRefuser. It rejects a request that has arrived only in part, because the
 // read buffers are full. The read timer runs exactly while the rest of a request is awaited.
 func (c *connection) RefusePartial() bool {
@@ -154,15 +164,26 @@
 }
 
 // onReadTimeout closes a connection whose request did not arrive completely in time. If a part of the request has
-// arrived, the client receives an error response first.
+// arrived, the client receives an error response first. Bytes that wait to be handled are handled before: they may
+// complete the request, and further requests may follow it.
 func (c *connection) onReadTimeout() {
 	if c.state == stateClosing {
 		return
 	}
-	c.server.counters.Increment(metrics.HTTPReadTimeouts)
 	if c.closeUnused(closeReadTimeout) {
+		c.server.counters.Increment(metrics.HTTPReadTimeouts)
 		return
 	}
+	if c.socket.ReadNow() {
+		c.readTimedOut = true
+		return
+	}
+	c.rejectTimedOut()
+}
+
+// rejectTimedOut responds to a request that did not arrive completely in time.
+func (c *connection) rejectTimedOut() {
+	c.server.counters.Increment(metrics.HTTPReadTimeouts)
 	if c.socket.AwaitsReadBudget() { // the client may have sent the rest
 		c.rejectPartial(closeReadBudget)
 		return
--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -216,8 +216,12 @@
 	c.stallTimer = nil
 }
 
-// onStall ends the connection of a client that has stopped within a message.
+// onStall ends the connection of a client that has stopped within a message. It does nothing if bytes have arrived that
+// wait to be handled.
 func (c *connection) onStall() {
+	if c.socket.ReadNow() { // OnData starts the timer again if the message is still incomplete
+		return
+	}
 	if c.socket.AwaitsReadBudget() { // the client may have sent the rest
 		c.refusePartial()
 		return
