Write the responses to many PostgreSQL messages in parts

What callers saw: a client whose messages of one read have more than 8 MB of responses gets none of them but the end of its connection, though it reads all it is sent. Cause: connection.OnData gathered the responses to all messages of a turn and wrote them at its end. PauseUntilFlushed counts only what is written, and a write of more than the socket's queue may hold (maxPendingWrite of eventloop) fails and drops everything. Change: OnData writes what is gathered at 64 KB, so that the connection pauses while over 1 MB waits.

--- a/internal/e2e/postgres_limits_test.go
+++ b/internal/e2e/postgres_limits_test.go
@@ -1,8 +1,12 @@
 package e2e
 
 import (
+	"bytes"
+	"slices"
 	"strings"
 	"testing"
+
+	"flaxrelay/internal/pgproto"
 )
 
 // Rows of several megabytes all reach a client that reads slowly, even if the front end closes the connection after the
@@ -93,3 +97,26 @@
 	third.send(long)
 	assertEqual(t, "a later client", third.receiveUntilReady(), "T D(a) C(SELECT 1) Z")
 }
+
+// Guards against a connection that is closed without the rest of its responses, because the responses to the messages
+// of one read exceed what may wait to be sent.
+func TestPostgres_ManyResponsesAtOnceAreAllSent(t *testing.T) {
+	const (
+		describes  = 6000
+		columnName = 4 << 10
+	)
+	column := append([]byte{0, 1}, strings.Repeat("c", columnName)...)
+	column = append(column, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)
+	addr, _ := startPgEngine(t, func(pgRequest) []byte {
+		return slices.Concat(parseComplete, pgproto.AppendMessage(nil, 't', oneParameter),
+			pgproto.AppendMessage(nil, 'T', column))
+	})
+	front := startPostgres(t, addr)
+	client := connectPostgres(t, front.addr)
+	client.send(parse("s", selectPart), describe("S", "s"), syncMessage)
+	client.receiveUntilReady()
+	client.send(bytes.Repeat(describe("S", "s"), describes), syncMessage)
+	if got := strings.Count(client.receiveUntilReady(), "T"); got != describes {
+		t.Errorf("%d descriptions, want %d", got, describes)
+	}
+}
--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -22,6 +22,9 @@
 	// maxPendingWrite is how many bytes may wait to be sent to a client. While more wait, none of its messages are
 	// read.
 	maxPendingWrite = 1 << 20
+	// maxGatheredOutput is how many bytes of responses are gathered before they are written. Responses to several
+	// messages are written together, and PauseUntilFlushed does not count what is not written yet.
+	maxGatheredOutput = 64 << 10
 )
 
 // connectionState determines which messages a connection serves next. Every connection starts in stateStartup and ends
@@ -112,6 +115,9 @@
 			in.Consume(in.Len())
 			return
 		}
+		if c.output.size() >= maxGatheredOutput {
+			c.flush()
+		}
 		if clientconn.PauseUntilFlushed(c.socket, maxPendingWrite) {
 			break
 		}
--- a/internal/frontend/pgserver/message_writer.go
+++ b/internal/frontend/pgserver/message_writer.go
@@ -40,6 +40,9 @@
 	w.message(pgproto.ServerErrorResponse, failure.Body())
 }
 
+// size returns the number of buffered bytes.
+func (w *messageWriter) size() int { return len(w.buffer) }
+
 // flushTo writes the buffered messages to the socket.
 func (w *messageWriter) flushTo(socket *eventloop.Conn) {
 	if len(w.buffer) > 0 {
