Send no request to an engine after it has been given up

What callers saw: while the network to an engine is cut, requests are refused with 503 at their deadline; their clients send them again, under the same key, and another engine runs them. Cause: stream.writeRequest took a request for written that the socket had only queued. PermitSend, which checks the deadline, the client, drains and the window of the key, was not asked again, and stream.Abandon left the bytes in the queue. Change: connection.writeWaiting writes a request only once the socket has accepted all bytes before it; until then the request waits, as during a dial, and can be withdrawn. If a request is abandoned while its last bytes are queued, the connection is aborted, which gives up all that is open on it. Left: a request that is wholly in the kernel's buffer when it is abandoned still arrives; nothing can take it back.

--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -90,6 +90,21 @@
 // does not receive all of b and does not run the request. The connection must be connected.
 func (c *Connection[P]) Write(b []byte) bool { return c.socket.Write(b) }
 
+// PendingWrite returns the number of written bytes that the socket has not accepted yet. The connection must be
+// connected.
+func (c *Connection[P]) PendingWrite() int { return c.socket.PendingWrite() }
+
+// OnFlushed schedules f to run once the socket has accepted all written bytes. It replaces the function of an earlier
+// call that has not run yet. The connection must be connected when OnFlushed is called, but may be closed when f runs.
+func (c *Connection[P]) OnFlushed(f func()) { c.socket.OnFlushed(f) }
+
+// Abort closes the connection at once and drops the written bytes that the socket has not accepted. The attempts then
+// end with the status. The connection must be connected.
+func (c *Connection[P]) Abort(status lifecycle.AttemptStatus) {
+	c.beginClose(status)
+	c.socket.Abort()
+}
+
 // UnreadBytes returns the number of received bytes that HandleMessage has not handled. The connection must be
 // connected. It must not be called while the connection's HandleMessage runs.
 func (c *Connection[P]) UnreadBytes() int { return c.socket.UnreadBytes() }
--- a/internal/engine/lineclient/connection.go
+++ b/internal/engine/lineclient/connection.go
@@ -19,6 +19,9 @@
 	parser  responseParser
 	streams map[string]*stream // by request id
 	usedIDs usedIDs
+	// lastWritten is the stream whose request was written last. While bytes wait to be sent, they are the end of this
+	// request and commands after it.
+	lastWritten *stream
 }
 
 // newConnection returns a new connection to the engine and starts its dial.
@@ -44,20 +47,35 @@
 	c.streams[attempt.Request.ID] = s
 	c.MarkUsed()
 	if c.Connected() {
-		s.writeRequest()
+		c.writeWaiting()
 	}
 }
 
 // HandleConnected writes the requests that waited for the dial.
 func (c *connection) HandleConnected() {
 	c.MarkOpen()
+	c.writeWaiting()
+	c.CloseIfRetiringAndIdle()
+	c.WatchIdle()
+}
+
+// writeWaiting writes the requests that wait, in the order of their starts, until the socket accepts no
+// more. The others wait on. If they were queued instead, they would be sent even if their requests had
+// ended by then.
+func (c *connection) writeWaiting() {
 	for _, s := range c.streamsInStartOrder() {
-		if c.has(s) {
-			s.writeRequest()
+		if !c.has(s) || s.Written() {
+			continue
 		}
+		if !c.Connected() {
+			return
+		}
+		if c.PendingWrite() > 0 {
+			c.OnFlushed(c.writeWaiting)
+			return
+		}
+		s.writeRequest()
 	}
-	c.CloseIfRetiringAndIdle()
-	c.WatchIdle()
 }
 
 // has reports whether the stream is still on the connection. When one attempt ends, the
--- a/internal/engine/lineclient/exchange_test.go
+++ b/internal/engine/lineclient/exchange_test.go
@@ -125,6 +125,30 @@
 	x.Printf("> %q\n", body)
 }
 
+// skipCommand reads one command of the client that has a statement, and adds only its size to the transcript.
+func (x exchange) skipCommand() {
+	x.T.Helper()
+	line, err := x.Reader.ReadString('\n')
+	x.Check(err)
+	var length int64
+	_, err = fmt.Sscan(line[strings.LastIndexByte(line, ' '):], &length)
+	x.Check(err)
+	_, err = io.CopyN(io.Discard, x.Reader, length+int64(len("\r\n")))
+	x.Check(err)
+	x.Printf("> a command with a statement of %d bytes\n", length)
+}
+
+// awaitCloseWithinCommand reads until the client closes the connection, and checks that the command before that is
+// incomplete.
+func (x exchange) awaitCloseWithinCommand() {
+	x.T.Helper()
+	rest, _ := io.ReadAll(x.Reader) // the close may reset the connection
+	if len(rest) >= blockingSize {
+		x.T.Errorf("%d bytes of a command with a statement of %d bytes arrived", len(rest), blockingSize)
+	}
+	x.Printf("> a part of a command, and the end of the connection\n")
+}
+
 // write sends text from the engine to the client in one piece.
 func (x exchange) write(text string) {
 	x.T.Helper()
--- a/internal/engine/lineclient/golden_test.go
+++ b/internal/engine/lineclient/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,10 +21,15 @@
 	emptyResult = " DONE batches=1 0\r\n\r\n"
 	firstOfTwo  = " DONE batches=2 6\r\na\tb\tc\n\r\n"
 	unknownKind = " ODD - 0\r\n\r\n"
+	// blockingSize exceeds what the kernel accepts while the engine does not read, in bytes.
+	blockingSize = 7 << 20
 	// resetDelay is longer than a reset takes to reach the client's socket.
 	resetDelay = 200 * time.Millisecond
 )
 
+// blockingStatement is a statement that the socket accepts only in part.
+var blockingStatement = strings.Repeat("x", blockingSize)
+
 // exchangeScripts are the exchanges by the name of their golden file.
 var exchangeScripts = map[string]script{
 	"want": {play: func(x exchange) {
@@ -147,6 +153,35 @@
 // connectionScripts are the exchanges in which connections are dialed, retired and closed, by the
 // name of their golden file.
 var connectionScripts = map[string]script{
+	// Guards against a request that is queued behind what the socket does not accept, and sent after it has ended: it
+	// waits, and can be withdrawn.
+	"withdrawn-while-blocked": {play: func(x exchange) {
+		x.respond(x.start(id, statement))
+		large := x.newAttempt(otherID, blockingStatement)
+		x.Start(large)
+		withdrawn := x.newAttempt(nextID, statement)
+		x.Start(withdrawn)
+		next := x.newAttempt("0000000000000003", statement)
+		x.Start(next)
+		x.Withdraw(withdrawn)
+		x.skipCommand()
+		x.readCommand()
+		x.respond(large)
+		x.respond(next)
+		x.RemoveEngineAndAwaitClose()
+		x.PrintConnections()
+	}},
+	// Guards against a request that is sent to its end after it has been abandoned: the connection is closed within it.
+	"abandoned-while-blocked": {play: func(x exchange) {
+		x.respond(x.start(id, statement))
+		other := x.start(nextID, statement)
+		large := x.newAttempt(otherID, blockingStatement)
+		x.Start(large)
+		x.Abandon(large)
+		x.awaitCloseWithinCommand()
+		x.AwaitEnd(other)
+		x.PrintConnections()
+	}},
 	"withdrawn-while-dialing": {cancels: true, play: func(x exchange) {
 		withdrawn := x.newAttempt(id, statement)
 		next := x.newAttempt(otherID, statement)
--- a/internal/engine/lineclient/stream.go
+++ b/internal/engine/lineclient/stream.go
@@ -9,7 +9,7 @@
 //
 //	event                                            from             to
 //	the attempt is put on the connection                              streamWaiting
-//	the connection is open, the request is written   streamWaiting    streamWritten
+//	the socket accepts the request                   streamWaiting    streamWritten
 //	the first of several pages arrives               streamWritten    streamFetching
 //
 // A stream is removed from its connection, in any state, when it is abandoned, when its attempt
@@ -39,7 +39,8 @@
 
 // Abandon removes the stream from its connection. The attempt must not have ended. A written
 // request is cancelled if the settings permit that. A result whose pages are being fetched is
-// always released instead, because the engine has no work to cancel.
+// always released instead, because the engine has no work to cancel. If a part of the request has
+// not been sent, the connection is closed, which gives up all requests on it.
 func (s *stream) Abandon() {
 	c := s.conn
 	id := s.attempt.Request.ID
@@ -47,6 +48,10 @@
 	// HandleClosed ends the streams one by one, so the connection may be closed already.
 	if s.Written() && c.Connected() {
 		switch {
+		case c.lastWritten == s && c.PendingWrite() > 0:
+			// The engine would run the request whenever the rest of it arrives.
+			c.Abort(lifecycle.StatusConnectionReset)
+			return
 		case s.state == streamFetching:
 			c.Write(releaseCommand(id))
 		case c.client.sendCancel:
@@ -71,6 +76,7 @@
 		return
 	}
 	s.state = streamWritten
+	s.conn.lastWritten = s
 }
 
 // finish removes the stream from its connection and ends its attempt.
