Do not send the rest of a query to a PostgreSQL engine after it has been given up

What callers would see: a statement that was given up while the network to its engine was cut, and that was sent only in part, is sent to its end if the network is whole again within 3 s, and may run after its client has been refused. Cause: connection.cancel closed the connection with Close, which first sends all queued bytes (maxFlushTime). Change: if bytes of the query wait to be sent, the connection is aborted.

--- a/internal/engine/pgclient/cancel.go
+++ b/internal/engine/pgclient/cancel.go
@@ -13,11 +13,16 @@
 const cancelTimeout = time.Second
 
 // cancel closes the connection and sends a CancelRequest for its query. If the engine can't be
-// reached or has sent no cancel key, the query runs to completion.
+// reached or has sent no cancel key, the query runs to completion. A query that has been sent only in
+// part never runs: the rest is not sent.
 func (c *connection) cancel() {
 	client := c.client
 	client.Counters.Increment(metrics.EngineConnectionsCancelRequests)
-	c.Close(lifecycle.StatusCancelled)
+	if c.PendingWrite() > 0 {
+		c.Abort(lifecycle.StatusCancelled)
+	} else {
+		c.Close(lifecycle.StatusCancelled)
+	}
 	if c.cancelKey == nil {
 		return
 	}
--- a/internal/engine/pgclient/exchange_test.go
+++ b/internal/engine/pgclient/exchange_test.go
@@ -13,6 +13,9 @@
 	"flaxrelay/internal/pgproto"
 )
 
+// blockingSize exceeds what the kernel accepts while the engine does not read, in bytes.
+const blockingSize = 7 << 20
+
 // script is a golden test of the PostgreSQL protocol.
 type script struct {
 	connectTimeout   time.Duration // 0: enginetest.Timeout
@@ -122,6 +125,17 @@
 	}
 }
 
+// awaitCloseWithinQuery reads until the client closes the connection, and checks that the query before that is
+// incomplete.
+func (x exchange) awaitCloseWithinQuery() {
+	x.T.Helper()
+	rest, _ := io.ReadAll(x.Reader) // the close may reset the connection
+	if len(rest) >= blockingSize {
+		x.T.Errorf("%d bytes of a query of %d bytes arrived", len(rest), blockingSize)
+	}
+	x.Printf("> a part of a query, and the end of the connection\n")
+}
+
 // acceptStartup accepts the next connection and completes its startup.
 func (x exchange) acceptStartup() {
 	x.T.Helper()
--- a/internal/engine/pgclient/golden_test.go
+++ b/internal/engine/pgclient/golden_test.go
@@ -44,6 +44,15 @@
 		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
 		x.RemoveEngineAndAwaitClose()
 	}},
+	// Guards against a query that is sent to its end after it has been abandoned: the connection is closed within it.
+	"abandoned-while-blocked": {play: func(x exchange) {
+		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
+		attempt := x.start(statement(strings.Repeat("x", blockingSize)))
+		x.Abandon(attempt)
+		x.awaitCloseWithinQuery()
+		x.acceptPacket() // the CancelRequest, on a separate connection
+		x.AwaitClose()
+	}},
 	"cancel-without-key": {play: func(x exchange) {
 		attempt := x.start(lookupStatement)
 		x.acceptPacket()
