Let 50 ms pass before a PostgreSQL engine connection takes the next query

Cause: responses are matched by order alone, and findIdle returned a connection as soon as its response was complete. Only bytes that the poller had read by then counted as a copy (acceptsAttempt). Change: Options.ReuseDelay. For 50 ms after a response the connection takes no query, and a copy closes it. Before a query is written the socket is read, so that a copy in the kernel's buffer counts too.

--- a/cmd/flaxrelay/postgres.go
+++ b/cmd/flaxrelay/postgres.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"flaxrelay/internal/config"
 	"flaxrelay/internal/discovery/consul"
@@ -14,6 +15,10 @@
 	"flaxrelay/internal/stmtstats"
 )
 
+// engineReuseDelay is how long a connection to an engine takes no query after a response. An engine that sends a
+// response twice sends the second copy some milliseconds late.
+const engineReuseDelay = 50 * time.Millisecond
+
 var errNoPostgresListenAddress = errors.New("deploy file: listen: missing")
 
 // unknownClassError reports that a reloaded deploy file names a class that was not in the settings when
@@ -47,6 +52,7 @@
 		ConnectTimeout:   config.FromMilliseconds(deploy.ConnectTimeoutMS),
 		IdleTimeout:      config.FromMilliseconds(deploy.IdleTimeoutMS),
 		MaxBufferedBytes: limits.memoryFraction(engineBufferDivisor),
+		ReuseDelay:       engineReuseDelay,
 	}, s.counters, s.logger))
 	watcher := consul.New(s.loop.Post, s.dispatcher, s.counters, s.logger)
 	watcher.Watch(ctx, consulOptions(deploy.Consul))
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -105,9 +105,12 @@
 	c.socket.Abort()
 }
 
-// UnreadBytes returns the number of received bytes that HandleMessage has not handled. The connection must be
-// connected. It must not be called while the connection's HandleMessage runs.
-func (c *Connection[P]) UnreadBytes() int { return c.socket.UnreadBytes() }
+// HasUnreadBytes reads what the socket holds, and reports whether bytes of the engine wait to be
+// handled. The connection must be connected. It must not be called while the connection's
+// HandleMessage runs.
+func (c *Connection[P]) HasUnreadBytes() bool {
+	return c.socket.ReadNow() || c.socket.UnreadBytes() > 0
+}
 
 // MarkOpen records that the startup is complete.
 func (c *Connection[P]) MarkOpen() { c.state = StateOpen }
--- a/internal/engine/pgclient/client.go
+++ b/internal/engine/pgclient/client.go
@@ -40,6 +40,10 @@
 	ConnectTimeout   time.Duration // for the dial and the startup together; 0: default
 	IdleTimeout      time.Duration // 0: idle connections stay open
 	MaxBufferedBytes int           // limit of bytes of rows in all incomplete results; 0: default
+	// ReuseDelay is how long a connection takes no query after a response; 0: the next query may follow at once. A
+	// duplicate of the response that arrives in this time closes the connection. One that arrives later is taken for
+	// the response to the next query.
+	ReuseDelay time.Duration
 }
 
 // Client is a lifecycle.EngineClient for PostgreSQL engines. It may be used only on the event
--- a/internal/engine/pgclient/connection.go
+++ b/internal/engine/pgclient/connection.go
@@ -21,6 +21,8 @@
 	cancelKey  []byte
 	statements preparedStatements
 	exchange   exchange
+	// reusableAt is the end of Options.ReuseDelay after the latest response, by the event loop's clock.
+	reusableAt time.Duration
 
 	handling       bool // HandleMessage runs
 	unhandledBytes int  // the number of bytes after the message that HandleMessage handles
@@ -47,18 +49,18 @@
 }
 
 // acceptsAttempt reports whether an attempt may be put on the connection. Responses are matched to queries by their
-// order alone. Bytes that the engine has already sent, such as a duplicate of the previous response, would be taken for
-// the response to the next query.
+// order alone. Bytes that the engine has already sent, or sends soon after its response, such as a duplicate of the
+// previous response, would be taken for the response to the next query.
 func (c *connection) acceptsAttempt() bool {
-	return !c.Retiring() && c.exchange.idle() && !c.hasUnhandledBytes()
+	return !c.Retiring() && c.exchange.idle() && !c.hasUnhandledBytes() && c.client.Loop.Now() >= c.reusableAt
 }
 
-// hasUnhandledBytes reports whether bytes of the engine have been received and not been handled.
+// hasUnhandledBytes reports whether bytes of the engine have arrived and not been handled.
 func (c *connection) hasUnhandledBytes() bool {
 	if c.handling {
 		return c.unhandledBytes > 0
 	}
-	return c.Connected() && c.UnreadBytes() > 0
+	return c.Connected() && c.HasUnreadBytes()
 }
 
 // InFlight returns the number of attempts on the connection: 0 or 1.
@@ -96,6 +98,7 @@
 	attempt := c.exchange.attempt
 	c.removeAttempt()
 	c.MarkUsed()
+	c.reusableAt = c.client.Loop.Now() + c.client.options.ReuseDelay
 	c.CloseIfRetiringAndIdle()
 	c.client.Dispatcher.EndAttempt(attempt, status, report)
 }
--- a/internal/engine/pgclient/exchange_test.go
+++ b/internal/engine/pgclient/exchange_test.go
@@ -20,6 +20,7 @@
 type script struct {
 	connectTimeout   time.Duration // 0: enginetest.Timeout
 	maxBufferedBytes int           // 0: the default of the client
+	reuseDelay       time.Duration // 0: connections are reused at once
 	play             func(exchange)
 }
 
@@ -33,6 +34,7 @@
 		Database:         "register",
 		ConnectTimeout:   cmp.Or(s.connectTimeout, enginetest.Timeout),
 		MaxBufferedBytes: s.maxBufferedBytes,
+		ReuseDelay:       s.reuseDelay,
 	}
 	return enginetest.Setup{
 		Settings: enginetest.Settings(
--- a/internal/engine/pgclient/golden_test.go
+++ b/internal/engine/pgclient/golden_test.go
@@ -259,6 +259,20 @@
 		x.PrintConnections()
 	}},
 	// Guards against the same duplicate that is still to be passed to the client.
+	// Guards against a late duplicate that is taken for the response to the next query, so that all later responses of
+	// the connection go to the query after their own: the next query is written on another connection meanwhile.
+	"duplicate-response-late": {reuseDelay: time.Second, play: func(x exchange) {
+		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
+		next := x.start(lookupStatement)
+		x.Write(emptyResponse...)
+		x.AwaitClose()
+		x.acceptStartup()
+		x.readQuery()
+		x.respond(next, emptyResponse...)
+		time.Sleep(time.Second) // the reuse delay
+		x.respond(x.startOnIdle(lookupStatement), emptyResponse...)
+		x.RemoveEngineAndAwaitClose()
+	}},
 	"duplicate-response-unread": {play: func(x exchange) {
 		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
 		next := x.newAttempt("lookup", lookupStatement)
