Take engines whose cell is unknown for engines that share no keys

Cause: registration.endpoint of the Consul watcher set no cell, so that all engines had cell 0, and sharesDedup took equal numbers for the same cell. TestAttemptRules_EnginesOfUnknownPlaceShareNoKeys starts an attempt on the second engine on the commit before this one. Change: Engine.CellKnown. An engine of an unknown cell, or of an unknown zone if keys are shared in a zone, shares them with no other. The same for a configuration without pod_group and for the simulator's table without a cell. Operators can name the cell in Consul's metadata. Decisions are the same where the cell is told: decisions.golden is unchanged.

--- a/internal/config/keys_test.go
+++ b/internal/config/keys_test.go
@@ -187,7 +187,7 @@
 		t.Fatal(err)
 	}
 	engine := lifecycle.Endpoint{Address: "127.0.0.1:7", Engine: policy.Engine{
-		ID: "u", Zone: "a", Kind: "m", Cell: 8, State: policy.EngineDraining,
+		ID: "u", Zone: "a", Kind: "m", Cell: 8, CellKnown: true, State: policy.EngineDraining,
 		StartedAt: 9 * time.Millisecond, StartKnown: true,
 	}}
 	want := &Platform{
--- a/internal/config/platform_object.go
+++ b/internal/config/platform_object.go
@@ -52,7 +52,7 @@
 	Address     string  `json:"endpoint"`
 	Zone        string  `json:"az"`
 	Kind        string  `json:"model"`
-	Cell        int64   `json:"pod_group"`
+	Cell        *int64  `json:"pod_group"` // nil: not given
 	State       string  `json:"state"`
 	StartTimeMS float64 `json:"boot_ms"` // since the Unix epoch
 }
@@ -98,7 +98,10 @@
 	v.requireAddress(path+".endpoint", o.Address)
 	endpoint := lifecycle.Endpoint{
 		Address: o.Address,
-		Engine:  policy.Engine{ID: o.ID, Zone: o.Zone, Kind: o.Kind, Cell: o.Cell, State: state},
+		Engine:  policy.Engine{ID: o.ID, Zone: o.Zone, Kind: o.Kind, State: state},
+	}
+	if o.Cell != nil {
+		endpoint.Cell, endpoint.CellKnown = *o.Cell, true
 	}
 	endpoint.StartedAt, endpoint.StartKnown = startTime(o.StartTimeMS)
 	return endpoint
--- a/internal/discovery/consul/decoding.go
+++ b/internal/discovery/consul/decoding.go
@@ -48,6 +48,9 @@
 			Kind: cmp.Or(r.ServiceMeta["kind"], r.NodeMeta["kind"], opts.Kind),
 		},
 	}
+	if cell, err := strconv.ParseInt(cmp.Or(r.ServiceMeta["cell"], r.NodeMeta["cell"]), 10, 64); err == nil {
+		engine.Cell, engine.CellKnown = cell, true
+	}
 	if startTime, err := strconv.ParseInt(r.ServiceMeta["boot_ms"], 10, 64); err == nil {
 		engine.StartedAt, engine.StartKnown = discovery.StartTime(startTime)
 	}
--- a/internal/discovery/consul/decoding_test.go
+++ b/internal/discovery/consul/decoding_test.go
@@ -42,3 +42,23 @@
 		t.Errorf("health entry (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an engine without a cell in its metadata that counts as one of cell 0.
+func TestRegistration_CellIsKnownOnlyFromMetadata(t *testing.T) {
+	for _, test := range []struct {
+		service, node map[string]string
+		cell          int64
+		known         bool
+	}{
+		{nil, nil, 0, false},
+		{map[string]string{"cell": "x"}, nil, 0, false},
+		{map[string]string{"cell": "0"}, nil, 0, true},
+		{nil, map[string]string{"cell": "4"}, 4, true},
+		{map[string]string{"cell": "3"}, map[string]string{"cell": "4"}, 3, true},
+	} {
+		got := (&registration{ServiceMeta: test.service, NodeMeta: test.node}).endpoint(Options{})
+		if got.Cell != test.cell || got.CellKnown != test.known {
+			t.Errorf("%v, %v: cell %d, known: %v", test.service, test.node, got.Cell, got.CellKnown)
+		}
+	}
+}
--- a/internal/discovery/eventbus/records.go
+++ b/internal/discovery/eventbus/records.go
@@ -68,11 +68,12 @@
 	engine := lifecycle.Endpoint{
 		Address: netip.AddrPortFrom(ip, port).String(),
 		Engine: policy.Engine{
-			ID:    fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(record[idOffset:])),
-			Zone:  nameAt(d.zones, record[zoneOffset]),
-			Kind:  nameAt(d.kinds, record[kindIndexOffset]),
-			Cell:  int64(binary.BigEndian.Uint16(record[cellOffset:])),
-			State: recordStates[state],
+			ID:        fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(record[idOffset:])),
+			Zone:      nameAt(d.zones, record[zoneOffset]),
+			Kind:      nameAt(d.kinds, record[kindIndexOffset]),
+			Cell:      int64(binary.BigEndian.Uint16(record[cellOffset:])),
+			CellKnown: true,
+			State:     recordStates[state],
 		},
 	}
 	startTime := binary.BigEndian.Uint64(record[startTimeOffset:])
--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -65,10 +65,10 @@
 	}
 	want := []update{
 		{policy.UpdateFull, []lifecycle.Endpoint{{Address: "127.0.0.9:70", Engine: policy.Engine{
-			ID: "s-00000007", Zone: "b", Kind: "std", Cell: 3, State: policy.EngineReady,
+			ID: "s-00000007", Zone: "b", Kind: "std", Cell: 3, CellKnown: true, State: policy.EngineReady,
 		}}}},
 		{policy.UpdateDelta, []lifecycle.Endpoint{{Address: "127.0.0.9:80", Engine: policy.Engine{
-			ID: "s-00000008", Zone: "b", Kind: "std", Cell: 3, State: policy.EngineDraining,
+			ID: "s-00000008", Zone: "b", Kind: "std", Cell: 3, CellKnown: true, State: policy.EngineDraining,
 			StartedAt: 5 * time.Second, StartKnown: true,
 		}}}},
 	}
--- a/internal/simprotocol/decode.go
+++ b/internal/simprotocol/decode.go
@@ -191,10 +191,11 @@
 func decodeEngine(row []json.RawMessage) (policy.Engine, error) {
 	message := &inputMessage{name: messageEngineTable, values: row}
 	engine := policy.Engine{
-		Zone: rowZone.required(message),
-		Kind: rowKind.required(message),
-		ID:   rowEngine.required(message),
-		Cell: rowCell.optional(message),
+		Zone:      rowZone.required(message),
+		Kind:      rowKind.required(message),
+		ID:        rowEngine.required(message),
+		Cell:      rowCell.optional(message),
+		CellKnown: rowCell.present(message),
 	}
 	startedMS := rowStartedMS.optional(message)
 	engine.StartedAt = config.FromMilliseconds(startedMS)
--- a/policy/attemptrules.go
+++ b/policy/attemptrules.go
@@ -72,10 +72,17 @@
 	return r.ordered.atHead(req, now) && e.slowStartPermits(req, r.traffic, now)
 }
 
-// sharesDedup reports whether two engines drop duplicates of each other's idempotency keys.
+// sharesDedup reports whether two engines drop duplicates of each other's idempotency keys. An engine
+// whose zone or cell is unknown shares its keys with no other engine.
 func sharesDedup(scope DedupScope, x, y *engine) bool {
-	return x == y || scope == ScopeAll || scope == ScopeZone && x.zone == y.zone ||
-		scope == ScopeCell && x.cell == y.cell
+	switch {
+	case x == y, scope == ScopeAll:
+		return true
+	case scope == ScopeZone:
+		return x.zone == y.zone && x.zone != ""
+	default:
+		return x.cellKnown && y.cellKnown && x.cell == y.cell
+	}
 }
 
 // allows reports whether a placement list is empty or names the value.
--- a/policy/attemptrules_test.go
+++ b/policy/attemptrules_test.go
@@ -31,6 +31,28 @@
 	}
 }
 
+// Guards against a key that is sent to a second engine which does not know it, because discovery reports no cells or no
+// zones.
+func TestAttemptRules_EnginesOfUnknownPlaceShareNoKeys(t *testing.T) {
+	for name, scope := range map[string]DedupScope{"cell": ScopeCell, "zone": ScopeZone} {
+		t.Run(name, func(t *testing.T) {
+			s := settings()
+			for i := range s.Classes {
+				s.Classes[i].DedupScope = scope
+			}
+			first, second := readyEngine("e", "", 0), readyEngine("f", "", 0)
+			first.CellKnown, second.CellKnown = false, false
+			h := newHarness(t, s, first, second)
+			started := startedAttempts(h.arrive(1, "keyed"))[0].Engine
+			h.handle(EndpointsChanged{Mode: UpdateDelta, Engines: []Engine{{ID: started, State: EngineRemoved}}})
+			actions := h.endAttempt(1, 0, ResultConnectionLost)
+			if len(startedAttempts(actions)) != 0 || !hasAction[Fail](actions) {
+				t.Errorf("after the engine has died: %+v", actions)
+			}
+		})
+	}
+}
+
 func TestRetryBudget_LimitsRetries(t *testing.T) {
 	s := settings()
 	s.Rules.RetryBudgetWindow = time.Second
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -70,5 +70,6 @@
 	e.zone = endpoint.Zone
 	e.kind = endpoint.Kind
 	e.cell = endpoint.Cell
+	e.cellKnown = endpoint.CellKnown
 	e.state = endpoint.State
 }
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -7,14 +7,15 @@
 
 // engine is an engine that the endpoint list has named, with the state that each concern keeps for it.
 type engine struct {
-	id       string
-	zone     string
-	kind     string
-	cell     int64
-	idHash   uint64
-	cores    float64
-	state    EngineState
-	inFlight []*attempt
+	id        string
+	zone      string
+	kind      string
+	cell      int64
+	cellKnown bool
+	idHash    uint64
+	cores     float64
+	state     EngineState
+	inFlight  []*attempt
 
 	limiter       limiter
 	slowStart     slowStart
--- a/policy/events.go
+++ b/policy/events.go
@@ -145,6 +145,7 @@
 	Zone       string
 	Kind       string
 	Cell       int64 // see ScopeCell
+	CellKnown  bool  // false: Cell is not set
 	State      EngineState
 	StartedAt  time.Duration // latest start, by the engine's wall clock, which may be wrong
 	StartKnown bool          // false: StartedAt is not set, and the entry begins no slow start
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -58,7 +58,7 @@
 
 // readyEngine returns the endpoint list entry of an engine that takes requests.
 func readyEngine(id, zone string, cell int64) Engine {
-	return Engine{ID: id, Zone: zone, Kind: "k", Cell: cell, State: EngineReady}
+	return Engine{ID: id, Zone: zone, Kind: "k", Cell: cell, CellKnown: true, State: EngineReady}
 }
 
 // manyBalancers returns the settings and n engines of a deployment with so many balancers that an even share of
--- a/policy/simulation_endpoints_test.go
+++ b/policy/simulation_endpoints_test.go
@@ -22,7 +22,7 @@
 	e := &simulatedEngine{slowdown: 0.8 + 0.4*s.random.Float64(), endpoint: policy.Engine{
 		ID: fmt.Sprintf("s-%08x", n*2654435761), Zone: []string{"a", "b"}[n%2],
 		Kind: []string{"large", "small", "large"}[n%3],
-		Cell: int64(n % 3), State: policy.EngineReady, StartedAt: s.now, StartKnown: startKnown,
+		Cell: int64(n % 3), CellKnown: true, State: policy.EngineReady, StartedAt: s.now, StartKnown: startKnown,
 	}}
 	s.engines = append(s.engines, e)
 	s.byID[e.endpoint.ID] = e
