Limit the memory of prepared statements and bound values of PostgreSQL sessions

Cause: parse and bind limited the number of statements and portals of a session and not their bytes; no budget counted them. Change: sessionMemory counts prepared statements, bound values and the text of a Query in flight. A session may keep 32 KB in any case; the rest is reserved in a budget of all sessions, a twelfth of the memory limit. Beyond it a message gets SQLSTATE 53200. A portal keeps its statement counted until both are closed.

--- a/cmd/flaxrelay/limits.go
+++ b/cmd/flaxrelay/limits.go
@@ -20,13 +20,14 @@
 
 // Divisors of the memory limit. Each defines the share of one part of the program: read buffers of
 // clients may use an eighth of the limit, for example. Without statement statistics, the shares add up
-// to a third of the limit in the HTTP front end, and to five eighths in the PostgreSQL front end. The
+// to a third of the limit in the HTTP front end, and to 17 of 24 parts in the PostgreSQL front end. The
 // rest is for the program itself and the garbage collector.
 const (
 	clientReadDivisor      = 8  // read buffers of the connections of clients
 	dialedReadDivisor      = 12 // read buffers of the connections to engines and to the event bus
 	bufferedResultsDivisor = 8  // HTTP results whose next page has not been fetched yet
 	openPortalsDivisor     = 6  // rows in open portals of PostgreSQL clients
+	statementsDivisor      = 12 // prepared statements of PostgreSQL clients
 	engineBufferDivisor    = 4  // results of PostgreSQL engines that have not been sent to clients yet
 	shapeStatisticsDivisor = 4  // maximum for statement statistics
 )
--- a/cmd/flaxrelay/postgres.go
+++ b/cmd/flaxrelay/postgres.go
@@ -114,6 +114,7 @@
 		ReadOnlyFunctions: sqltext.Functions{},
 		MaxClients:        limits.maxClients(),
 		MaxBufferedBytes:  limits.memoryFraction(openPortalsDivisor),
+		MaxStatementBytes: limits.memoryFraction(statementsDivisor),
 		Estimator:         estimator,
 	}
 	for _, name := range deploy.ReadOnlyFunctions {
--- a/internal/e2e/postgres_limits_test.go
+++ b/internal/e2e/postgres_limits_test.go
@@ -120,3 +120,39 @@
 		t.Errorf("%d descriptions, want %d", got, describes)
 	}
 }
+
+// Guards against prepared statements that use up the memory: a session that keeps many long ones gets an error, while
+// the short ones of others are served, and its memory is free again after it has ended.
+func TestPostgres_PreparedStatementsAreLimitedForAllSessionsTogether(t *testing.T) {
+	const (
+		budget        = 1 << 20
+		statementSize = 400 << 10
+	)
+	addr, _ := startPgEngine(t, oneRowReply)
+	front := newFrontEnd(t, nil)
+	front.pgOptions.MaxStatementBytes = budget
+	front.servePostgres(addr)
+	long := func(name string) []byte { return parse(name, "SELECT '"+strings.Repeat("x", statementSize)+"'") }
+	greedy := connectPostgres(t, front.addr)
+	for _, name := range []string{"a", "b"} {
+		greedy.send(long(name), syncMessage)
+		assertEqual(t, "statement within the budget", greedy.receiveUntilReady(), "1 Z")
+	}
+	greedy.send(long("c"), syncMessage)
+	assertEqual(t, "statement beyond the budget", greedy.receiveUntilReady(), "E(53200) Z")
+	usual := connectPostgres(t, front.addr)
+	usual.send(runUnnamed(selectPart, "a")...)
+	assertEqual(t, "short statement of another session", usual.receiveUntilReady(), "1 2 D(a) C(SELECT 1) Z")
+	usual.send(query("SELECT '" + strings.Repeat("x", statementSize) + "'"))
+	assertEqual(t, "long query of another session", usual.receiveUntilReady(), "E(53200) Z")
+	if err := greedy.conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	served := poll(func() bool {
+		usual.send(long("d"), syncMessage)
+		return usual.receiveUntilReady() == "1 Z"
+	})
+	if !served {
+		t.Error("the memory of the session that has ended is not free")
+	}
+}
--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -83,6 +83,7 @@
 	extended extendedQuery
 
 	output     messageWriter
+	memory     sessionMemory
 	stallTimer *timerqueue.Timer // calls onStall; nil unless the rest of a message is awaited
 
 	// The request in flight and its execution; both are nil except in stateInFlight.
@@ -96,13 +97,15 @@
 		socket:  socket,
 		key:     cancelKey{processID: processID},
 		startup: &startupPhase{},
+		memory:  sessionMemory{budget: &server.statementBudget},
 	}
-	c.simple = simpleQuery{server: server, settings: &c.settings, output: &c.output}
+	c.simple = simpleQuery{server: server, settings: &c.settings, output: &c.output, memory: &c.memory}
 	c.extended = extendedQuery{
 		server:     server,
 		output:     &c.output,
 		statements: map[string]*statement{},
-		portals:    portalSet{byName: map[string]*portal{}, budget: &server.rowBudget},
+		portals:    portalSet{byName: map[string]*portal{}, budget: &server.rowBudget, memory: &c.memory},
+		memory:     &c.memory,
 	}
 	return c
 }
@@ -287,6 +290,7 @@
 	c.stopStallTimer()
 	delete(c.server.connections, c.key.processID)
 	c.extended.portals.closeAll()
+	c.memory.releaseAll()
 	if request != nil {
 		c.server.dispatcher.ClientDisconnected(request)
 	}
--- a/internal/frontend/pgserver/extended_query.go
+++ b/internal/frontend/pgserver/extended_query.go
@@ -21,6 +21,7 @@
 	output     *messageWriter
 	statements map[string]*statement
 	portals    portalSet
+	memory     *sessionMemory
 	// pendingDescribe is the portal whose description has not been sent yet: the next message may be the portal's first
 	// Execute, whose result includes the description. pendingDescribe is nil if no description is pending.
 	pendingDescribe *portal
@@ -66,15 +67,28 @@
 	if len(q.statements) >= maxNamed {
 		return newError(codeProgramLimitExceeded, "more than %d prepared statements", maxNamed)
 	}
+	q.dropStatement(name) // an unnamed statement is replaced
 	prepared, failure := q.server.prepare(query, parameterTypes)
 	if failure != nil {
 		return failure
 	}
+	if !q.memory.tryKeep(prepared.size()) {
+		return errSessionMemory()
+	}
+	prepared.references++
 	q.statements[name] = prepared
 	q.output.message(pgproto.ServerParseComplete)
 	return nil
 }
 
+// dropStatement removes the statement with the name, if there is one. Portals that are open keep it.
+func (q *extendedQuery) dropStatement(name string) {
+	if dropped := q.statements[name]; dropped != nil {
+		q.memory.dropReference(dropped)
+		delete(q.statements, name)
+	}
+}
+
 // bind opens a portal.
 func (q *extendedQuery) bind(body []byte) *pgproto.Error {
 	reader := pgproto.Reader{Unread: body}
@@ -107,7 +121,9 @@
 		}
 		opened.idempotencyKey = key
 	}
-	q.portals.open(name, opened)
+	if failure := q.portals.open(name, opened); failure != nil {
+		return failure
+	}
 	q.output.message(pgproto.ServerBindComplete)
 	return nil
 }
@@ -153,7 +169,7 @@
 		return failure
 	}
 	if kind == pgproto.TargetStatement {
-		delete(q.statements, name)
+		q.dropStatement(name)
 	} else {
 		q.portals.close(name)
 	}
--- a/internal/frontend/pgserver/extended_query_test.go
+++ b/internal/frontend/pgserver/extended_query_test.go
@@ -14,6 +14,7 @@
 	prepared := &statement{query: "SELECT part", parameterTypes: noParameterTypes}
 	empty := &statement{parameterTypes: noParameterTypes, empty: true}
 	output := &messageWriter{}
+	memory := &sessionMemory{budget: &memorybudget.Budget{}}
 	return &extendedQuery{
 		output:     output,
 		statements: map[string]*statement{"s": prepared, "e": empty},
@@ -24,7 +25,9 @@
 				"e": {statement: empty, bindBody: emptyBind},
 			},
 			budget: &memorybudget.Budget{},
+			memory: memory,
 		},
+		memory: memory,
 	}, output
 }
 
--- a/internal/frontend/pgserver/portal.go
+++ b/internal/frontend/pgserver/portal.go
@@ -44,6 +44,9 @@
 	unsentRows     []byte          // DataRow messages
 }
 
+// size returns how many bytes of the session's memory the portal keeps.
+func (p *portal) size() int { return len(p.bindBody) + statementOverhead }
+
 // newExecution returns the execution of the portal by an engine. The function onServed is called with the result.
 func (p *portal) newExecution(onServed func(*pgproto.Result) *pgproto.Error) *execution {
 	p.binds.TypeOIDs = p.statement.parameterOIDs()
@@ -115,10 +118,11 @@
 }
 
 // portalSet owns the open portals of a connection. Between two messages, the bytes of the portals' unsent rows are
-// reserved in the budget, which all connections share.
+// reserved in the budget, which all connections share. The session's memory keeps the values bound to the portals.
 type portalSet struct {
 	byName map[string]*portal
 	budget *memorybudget.Budget
+	memory *sessionMemory
 }
 
 // checkCanOpen returns an error if no portal can be opened under the name.
@@ -132,10 +136,15 @@
 	return nil
 }
 
-// open adds a portal. It replaces an unnamed portal.
-func (s *portalSet) open(name string, opened *portal) {
+// open adds a portal, which replaces an unnamed one. It returns an error if the session may not keep the portal.
+func (s *portalSet) open(name string, opened *portal) *pgproto.Error {
 	s.close(name)
+	if !s.memory.tryKeep(opened.size()) {
+		return errSessionMemory()
+	}
+	opened.statement.references++
 	s.byName[name] = opened
+	return nil
 }
 
 // sendFirstRows stores the result of a portal's execution and sends its first rows.
@@ -161,7 +170,7 @@
 // close removes the portal with the name, if there is one.
 func (s *portalSet) close(name string) {
 	if closed := s.byName[name]; closed != nil {
-		s.release(closed)
+		s.drop(closed)
 		delete(s.byName, name)
 	}
 }
@@ -169,11 +178,18 @@
 // closeAll removes all portals.
 func (s *portalSet) closeAll() {
 	for _, closed := range s.byName {
-		s.release(closed)
+		s.drop(closed)
 	}
 	clear(s.byName)
 }
 
+// drop releases the memory of a portal that is closed.
+func (s *portalSet) drop(closed *portal) {
+	s.release(closed)
+	s.memory.release(closed.size())
+	s.memory.dropReference(closed.statement)
+}
+
 // reserve reserves the bytes of a portal's unsent rows. If they exceed the budget, it drops them and returns an error.
 func (s *portalSet) reserve(p *portal) *pgproto.Error {
 	if len(p.unsentRows) == 0 || s.budget.TryReserve(len(p.unsentRows)) {
--- a/internal/frontend/pgserver/portal_test.go
+++ b/internal/frontend/pgserver/portal_test.go
@@ -117,7 +117,7 @@
 		"no rows": {&pgproto.Result{CommandTag: "INSERT 0 1"}, []string{"C", codeObjectNotInState}},
 	} {
 		var output messageWriter
-		portals := portalSet{byName: map[string]*portal{}, budget: &budget}
+		portals := portalSet{byName: map[string]*portal{}, budget: &budget, memory: newTestMemory()}
 		p := &portal{statement: &statement{}}
 		p.setResult(tt.result)
 		for _, want := range tt.want {
@@ -138,13 +138,15 @@
 	t.Helper()
 	budget = &memorybudget.Budget{}
 	budget.SetLimit(len(dataRow("a")))
-	return &portalSet{byName: map[string]*portal{}, budget: budget}, budget
+	return &portalSet{byName: map[string]*portal{}, budget: budget, memory: newTestMemory()}, budget
 }
 
 // openAndFetchOne opens a portal and fetches the first of its two rows.
 func openAndFetchOne(portals *portalSet, name string, output *messageWriter) (*portal, *pgproto.Error) {
 	opened := &portal{statement: &statement{}}
-	portals.open(name, opened)
+	if failure := portals.open(name, opened); failure != nil {
+		return nil, failure
+	}
 	return opened, portals.sendFirstRows(opened, resultOfRows("a", "b"), output, 1)
 }
 
@@ -153,7 +155,11 @@
 	for name, end := range map[string]func(portals *portalSet, p *portal){
 		"closed":     func(portals *portalSet, _ *portal) { portals.close("p") },
 		"all closed": func(portals *portalSet, _ *portal) { portals.closeAll() },
-		"replaced":   func(portals *portalSet, _ *portal) { portals.open("p", &portal{}) },
+		"replaced": func(portals *portalSet, _ *portal) {
+			if failure := portals.open("p", &portal{statement: &statement{}}); failure != nil {
+				t.Error(failure)
+			}
+		},
 		"fetched": func(portals *portalSet, p *portal) {
 			if failure := portals.sendFurtherRows(p, &messageWriter{}, allRows); failure != nil {
 				t.Error(failure)
@@ -177,3 +183,6 @@
 		})
 	}
 }
+
+// newTestMemory returns the memory of a session that may keep no more than its allowance.
+func newTestMemory() *sessionMemory { return &sessionMemory{budget: &memorybudget.Budget{}} }
--- a/internal/frontend/pgserver/request.go
+++ b/internal/frontend/pgserver/request.go
@@ -28,6 +28,7 @@
 	message        *pgproto.Statement // the message to the engine
 	idempotencyKey string
 	binds          *sqltext.Binds // the values bound to a portal; nil for a Query and for a description
+	keptBytes      int            // bytes of the session's memory that are released when the execution ends
 	// onServed writes the response to the client's message that led to the execution.
 	onServed func(*pgproto.Result) *pgproto.Error
 }
@@ -80,6 +81,9 @@
 	c.request = nil
 	c.execution = nil
 	c.state = stateReady
+	if exec != nil {
+		c.memory.release(exec.keptBytes)
+	}
 	return request, exec
 }
 
--- a/internal/frontend/pgserver/server.go
+++ b/internal/frontend/pgserver/server.go
@@ -31,6 +31,8 @@
 	spareClients = 16
 	// defaultMaxBufferedBytes is the default of Options.MaxBufferedBytes.
 	defaultMaxBufferedBytes = 32 << 20
+	// defaultMaxStatementBytes is the default of Options.MaxStatementBytes.
+	defaultMaxStatementBytes = 16 << 20
 )
 
 // Options are the settings of a Server from the deploy file.
@@ -42,6 +44,9 @@
 	Estimator         *stmtstats.Service // determines classes and estimates costs by statement shape; nil: off
 	MaxClients        int                // limit of open connections; 0: no limit
 	MaxBufferedBytes  int                // limit of bytes of rows in all open portals together; 0: default
+	// MaxStatementBytes limits the bytes of prepared statements and bound values of all sessions together, besides an
+	// allowance of each session; 0: default.
+	MaxStatementBytes int
 }
 
 // Server accepts PostgreSQL clients. It owns their connections, decides the class of each statement, and builds the
@@ -53,10 +58,11 @@
 	options    Options
 	counters   *metrics.Counters
 
-	connections   map[uint32]*connection // by process ID
-	lastProcessID uint32
-	rowBudget     memorybudget.Budget // bytes of rows in open portals
-	draining      bool                // a graceful shutdown has begun
+	connections     map[uint32]*connection // by process ID
+	lastProcessID   uint32
+	rowBudget       memorybudget.Budget // bytes of rows in open portals
+	statementBudget memorybudget.Budget // bytes of statements and bound values beyond the allowances of sessions
+	draining        bool                // a graceful shutdown has begun
 }
 
 // New returns a server that passes its requests to the dispatcher.
@@ -93,14 +99,18 @@
 	return c
 }
 
-// SetOptions changes the options for statements that are prepared later and clients that connect later. The limit of
-// buffered bytes applies at once, but only to rows that are buffered later.
+// SetOptions changes the options for statements that are prepared later and clients that connect later. The limits of
+// bytes apply at once, but only to what is buffered or prepared later.
 func (s *Server) SetOptions(options Options) {
 	if options.MaxBufferedBytes <= 0 {
 		options.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
+	if options.MaxStatementBytes <= 0 {
+		options.MaxStatementBytes = defaultMaxStatementBytes
+	}
 	s.options = options
 	s.rowBudget.SetLimit(options.MaxBufferedBytes)
+	s.statementBudget.SetLimit(options.MaxStatementBytes)
 }
 
 // Drain closes the connections in a graceful shutdown. It closes each connection at once, or after the next
--- a/internal/frontend/pgserver/simple_query.go
+++ b/internal/frontend/pgserver/simple_query.go
@@ -14,6 +14,7 @@
 	server   *Server
 	settings *sessionSettings
 	output   *messageWriter
+	memory   *sessionMemory
 }
 
 // serve serves a Query with one statement. It returns an execution if an engine has to run the statement.
@@ -37,8 +38,12 @@
 	if _, failure = prepared.idempotencyKey(nil); failure != nil {
 		return nil, failure
 	}
+	if !q.memory.tryKeep(len(query)) {
+		return nil, errSessionMemory()
+	}
 	return &execution{
 		protocol:  simpleProtocol,
+		keptBytes: len(query),
 		statement: prepared,
 		message:   &pgproto.Statement{Query: query, ParameterTypes: noParameterTypes, Bind: emptyBind},
 		onServed: func(result *pgproto.Result) *pgproto.Error {
--- a/internal/frontend/pgserver/statement.go
+++ b/internal/frontend/pgserver/statement.go
@@ -15,8 +15,12 @@
 	empty          bool                 // the query contains only white space and comments
 	parsed         *stmtstats.Statement // nil without an estimator
 	description    *pgproto.Result      // nil until an engine has described the statement
+	references     int                  // the name of the statement and its open portals
 }
 
+// size returns how many bytes of the session's memory the statement keeps.
+func (s *statement) size() int { return len(s.query) + len(s.parameterTypes) + statementOverhead }
+
 // prepare parses and classifies a statement. Nothing is sent to an engine.
 func (s *Server) prepare(query string, parameterTypes []byte) (*statement, *pgproto.Error) {
 	var parsed *stmtstats.Statement
