--- a/internal/frontend/pgserver/connection.go
+++ b/internal/frontend/pgserver/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"flaxrelay/internal/eventloop"
 	"flaxrelay/internal/frontend/clientconn"
@@ -17,8 +16,6 @@
 	maxMessage = 1 << 20
 	// maxUnread is how many unread bytes of a client are buffered: one message and some of the bytes after it.
 	maxUnread = maxMessage + 64<<10
-	// stallTimeout is how long a client may send nothing while a message is incomplete.
-	stallTimeout = 2 * time.Second
 	// maxPendingWrite is how many bytes may wait to be sent to a client. While more wait, none of its messages are
 	// read.
 	maxPendingWrite = 1 << 20
@@ -155,42 +152,6 @@
 	return c.serveSessionMessage(input)
 }
 
-// serveStartupMessage serves a message of the startup and returns its size, or 0 while it is incomplete.
-func (c *connection) serveStartupMessage(input []byte) (size int, err error) {
-	code, body, size, err := pgproto.ParseStartup(input)
-	if err != nil || size == 0 {
-		return size, err
-	}
-	switch code {
-	case pgproto.SSLRequestCode, pgproto.GSSENCRequestCode:
-		c.socket.Write([]byte{encryptionDeclined})
-	case pgproto.CancelRequestCode:
-		c.server.cancel(body)
-		c.close()
-	default:
-		return size, c.beginSession(code, body)
-	}
-	return size, nil
-}
-
-// beginSession reads the startup packet and begins the session of a client that is admitted.
-func (c *connection) beginSession(version uint32, body []byte) error {
-	if err := c.startup.readPacket(version, body); err != nil {
-		return err
-	}
-	if failure := c.server.admit(c.startup); failure != nil {
-		c.fatal(failure)
-		return nil
-	}
-	c.state = stateReady
-	c.settings = c.startup.settings
-	c.key.generateSecret()
-	c.startup.writeSession(&c.output, c.key)
-	c.startup = nil
-	c.sendReady()
-	return nil
-}
-
 // sendReady sends the ReadyForQuery that ends the startup or the response to a Query or a Sync. In a graceful shutdown
 // it also closes the connection.
 func (c *connection) sendReady() {
@@ -214,46 +175,6 @@
 	return c.state.awaitsMessage() && c.socket.PendingWrite() <= maxPendingWrite
 }
 
-// startStallTimer limits the time until the client sends more of a message that has arrived only in part. Each further
-// part restarts the timer, because a slow client may need longer than stallTimeout for a large message.
-func (c *connection) startStallTimer() {
-	c.stallTimer = c.server.loop.Timers.Schedule(c.server.loop.Now()+stallTimeout, c.onStall)
-}
-
-func (c *connection) stopStallTimer() {
-	c.stallTimer.Stop()
-	c.stallTimer = nil
-}
-
-// onStall ends the connection of a client that has stopped within a message. It does nothing if bytes have arrived that
-// wait to be handled.
-func (c *connection) onStall() {
-	if c.socket.ReadNow() { // OnData starts the timer again if the message is still incomplete
-		return
-	}
-	if c.socket.AwaitsReadBudget() { // the client may have sent the rest
-		c.refusePartial()
-		return
-	}
-	c.server.counters.Increment(metrics.PostgresStalled)
-	c.fatal(newError(codeProtocolViolation, "a message stopped in the middle"))
-}
-
-// RefusePartial implements eventloop.PartialRefuser. It rejects a message that has arrived only in part, because the
-// read buffers are full.
-func (c *connection) RefusePartial() bool {
-	if c.stallTimer == nil || c.socket.UnreadBytes() == 0 {
-		return false
-	}
-	c.refusePartial()
-	return true
-}
-
-func (c *connection) refusePartial() {
-	c.server.counters.Increment(metrics.PostgresReadBudget)
-	c.fatal(newError(codeOutOfMemory, "the gateway holds too many incomplete messages"))
-}
-
 // rejectMalformed sends an ErrorResponse for input that can't be decoded, and closes the connection.
 func (c *connection) rejectMalformed(err error) {
 	c.server.counters.Increment(metrics.PostgresMalformed)
--- a/internal/frontend/pgserver/startup.go
+++ b/internal/frontend/pgserver/startup.go
@@ -118,6 +118,42 @@
 	output.message(pgproto.ServerBackendKeyData, key.body())
 }
 
+// serveStartupMessage serves a message of the startup and returns its size, or 0 while it is incomplete.
+func (c *connection) serveStartupMessage(input []byte) (size int, err error) {
+	code, body, size, err := pgproto.ParseStartup(input)
+	if err != nil || size == 0 {
+		return size, err
+	}
+	switch code {
+	case pgproto.SSLRequestCode, pgproto.GSSENCRequestCode:
+		c.socket.Write([]byte{encryptionDeclined})
+	case pgproto.CancelRequestCode:
+		c.server.cancel(body)
+		c.close()
+	default:
+		return size, c.beginSession(code, body)
+	}
+	return size, nil
+}
+
+// beginSession reads the startup packet and begins the session of a client that is admitted.
+func (c *connection) beginSession(version uint32, body []byte) error {
+	if err := c.startup.readPacket(version, body); err != nil {
+		return err
+	}
+	if failure := c.server.admit(c.startup); failure != nil {
+		c.fatal(failure)
+		return nil
+	}
+	c.state = stateReady
+	c.settings = c.startup.settings
+	c.key.generateSecret()
+	c.startup.writeSession(&c.output, c.key)
+	c.startup = nil
+	c.sendReady()
+	return nil
+}
+
 // admit returns an error for a client that may not begin a session. The number of open connections includes the
 // client's own.
 func (s *Server) admit(startup *startupPhase) *pgproto.Error {
