Let the kernel's step of time pass between arrivals whose order a test needs

Beside eight busy processes TestReadBudget_RefusesTheOldestIncompleteMessageAndDropsNoOther failed once in 15 runs: the second message was refused as the oldest.

--- a/internal/e2e/read_budget_test.go
+++ b/internal/e2e/read_budget_test.go
@@ -24,7 +24,7 @@
 		budget        = incomplete * (statementSize + 1<<10) // of the incomplete requests alone
 		usual         = 3
 		// The order of two arrivals is not known if they are closer than this.
-		arrivalPrecision = 20 * time.Millisecond
+		arrivalStep = 20 * time.Millisecond
 	)
 	addr, _ := startLineEngine(t, emptyReply)
 	front := newFrontEnd(t, nil)
@@ -38,7 +38,7 @@
 		client.send(request[:len(request)-1])
 		stalled = append(stalled, client)
 		front.awaitBuffered(int64(n+1) * statementSize)
-		time.Sleep(arrivalPrecision)
+		time.Sleep(arrivalStep)
 	}
 	for n := range usual {
 		client := connectHTTP(t, front.addr)
--- a/internal/eventloop/readbudget_test.go
+++ b/internal/eventloop/readbudget_test.go
@@ -60,12 +60,17 @@
 // Guards against dropping a message that its peer has sent completely: while the buffers of others use up the budget,
 // its bytes stay in the socket, and the message that has been incomplete for the longest time is refused.
 func TestReadBudget_RefusesTheOldestIncompleteMessageAndDropsNoOther(t *testing.T) {
-	const messageSize = 4 * readSize
+	const (
+		messageSize = 4 * readSize
+		// The order of two arrivals is not known if they are closer than this.
+		arrivalStep = 20 * time.Millisecond
+	)
 	l, _ := startLoop(t)
 	l.SetReadBudgets(2*(messageSize-1), readSize)
 	handlers, peers := listenForMessages(t, l, messageSize, 3)
 	for i := range 2 {
 		fillBudget(t, l, handlers[i], peers[i], messageSize-1)
+		time.Sleep(arrivalStep)
 	}
 	startedAt := time.Now()
 	send(t, peers[2], make([]byte, messageSize))
