--- a/cmd/flaxrelay/limits_test.go
+++ b/cmd/flaxrelay/limits_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against a process that exceeds a small memory limit although its heap is within its share: the mapped program
-// file needs the same memory whatever the limit is.
+// file needs the same memory with any limit.
 func TestHeapLimit_LeavesRoomForTheProgram(t *testing.T) {
 	for memoryMB, wantMB := range map[int]float64{192: 115.2, 96: 57.6, 48: 28.8, 40: 24, 32: 16, 20: 6} {
 		got := float64(resourceLimits{memoryMB: memoryMB}.heapLimit()) / bytesPerMB
--- a/internal/engine/pgclient/golden_test.go
+++ b/internal/engine/pgclient/golden_test.go
@@ -260,7 +260,7 @@
 	}},
 	// Guards against the same duplicate that is still to be passed to the client.
 	// Guards against a late duplicate that is taken for the response to the next query, so that all later responses of
-	// the connection go to the query after their own: the next query is written on another connection meanwhile.
+	// the connection go to the query after their own: the next query is written on another connection.
 	"duplicate-response-late": {reuseDelay: time.Second, play: func(x exchange) {
 		x.respond(x.connectAndStart(lookupStatement), emptyResponse...)
 		next := x.start(lookupStatement)
--- a/internal/eventloop/readbudget.go
+++ b/internal/eventloop/readbudget.go
@@ -42,7 +42,7 @@
 	budgetNone budgetState = iota
 	// budgetWaiting: the reader is in the queue of its budget.
 	budgetWaiting
-	// budgetGranted: the reader may read once, whatever the other readers have buffered meanwhile.
+	// budgetGranted: the reader may read once, even if the budget is used up again.
 	budgetGranted
 )
 
--- a/internal/eventloop/readerbudget.go
+++ b/internal/eventloop/readerbudget.go
@@ -55,7 +55,7 @@
 	r.resumeLocked()
 }
 
-// partialMessage returns the incomplete message at the start of the buffer, with size 0 if there is none. It also
+// partialMessage returns the incomplete message at the start of the buffer, or size 0 if the buffer is empty. It also
 // reports whether the connection is being closed; the size is then that of the bytes that will be dropped.
 func (r *reader) partialMessage() (partial partialMessage, closing bool) {
 	r.mu.Lock()
