--- a/internal/engine/lineclient/stream.go
+++ b/internal/engine/lineclient/stream.go
@@ -39,8 +39,8 @@
 
 // Abandon removes the stream from its connection. The attempt must not have ended. A written
 // request is cancelled if the settings permit that. A result whose pages are being fetched is
-// always released instead, because the engine has no work to cancel. If a part of the request has
-// not been sent, the connection is closed, which gives up all requests on it.
+// always released instead, because its request has already run. If a part of the request is still
+// unsent, the connection is closed, which gives up all requests on it.
 func (s *stream) Abandon() {
 	c := s.conn
 	id := s.attempt.Request.ID
--- a/internal/eventloop/readbudget_test.go
+++ b/internal/eventloop/readbudget_test.go
@@ -153,6 +153,9 @@
 				if n := l.acceptedBudget.granted; n != 0 {
 					t.Errorf("%d grants are left", n)
 				}
+				if got := waiting.conn.closer.state.load(); got != connClosed {
+					t.Errorf("state %d at the end, want %d", got, connClosed)
+				}
 				r.conn.Abort()
 			})
 			awaitEnd(t, r)
